--- /dev/null
+++ b/control/api.go
@@ -0,0 +1,206 @@
+// Package control decides, for one relay, which message goes where and when.
+//
+// This file is the whole interface: the settings a Dispatcher starts with,
+// the events it is told of and the actions it answers with. It holds no
+// decision; those are in control.go.
+package control
+
+// Time is an instant on the caller's clock, or a span, in microseconds.
+type Time int64
+
+// Units of Time.
+const (
+	Millisecond Time = 1000
+	Second      Time = 1000 * Millisecond
+)
+
+// MessageID names a message; no id is used twice.
+type MessageID uint64
+
+// Endpoint names an endpoint. It is opaque and only compared.
+type Endpoint uint64
+
+// Effect says what repeating a message of a class does.
+type Effect uint8
+
+// Effects of a class.
+const (
+	Free       Effect = iota // may be repeated at will
+	Guarded                  // repeats are dropped for a window of time
+	SingleShot               // must never take effect twice
+)
+
+// Class describes a class of message.
+type Class struct {
+	Name      string
+	Effect    Effect
+	ZoneGroup bool    // Guarded: only endpoints of one zone drop repeats (else all of the destination)
+	Window    Time    // Guarded: how long repeats are dropped, from the first doubtful send
+	Aim       Time    // full worth when delivered within this
+	Deadline  Time    // given up after this
+	Worth     float64 // worth of one message
+	LateWorth float64 // share of the worth left at the deadline
+	InOrder   bool    // messages sharing a key go one at a time, in order
+}
+
+// Tenant describes a customer and its share of the service.
+type Tenant struct {
+	Name  string
+	Quota float64 // messages a second within its share, over all dispatchers
+}
+
+// Kind describes a kind of destination.
+type Kind struct {
+	Name        string
+	Batch       int  // most messages in one call
+	RoutesApart bool // endpoints have limits, waits and outages of their own
+}
+
+// WeightKind says what Entry.Weight means.
+type WeightKind uint8
+
+// Meanings of a listed weight.
+const (
+	WeightNone    WeightKind = iota // nothing
+	WeightNominal                   // the rate a destination takes from all dispatchers
+	WeightRough                     // the same, but inexact
+)
+
+// Settings are told once, at the start.
+type Settings struct {
+	Me, Instances int // this dispatcher's number and how many there are
+	Zone          int
+	Tick          Time
+	Classes       []Class
+	Tenants       []Tenant
+	Kinds         []Kind
+	Weights       WeightKind
+	LateHalving   bool // late worth halves with each further aim, else falls evenly
+	OverShare     float64
+	ReportLeft    int // position in a report of the share of the limit left, -1 if none
+	ReportLimit   int // position in a report of the limit in calls a second, -1 if none
+
+	Slots          int // calls out at once
+	MaxOpen        int // messages held, sent or not
+	MaxTries       int
+	MayCancel      bool
+	Probes         bool
+	RetryAfter     bool // a refusal may carry a wait
+	MaxRetryAfter  Time
+	ConnIdle       Time
+	ConnectTimeout Time
+	StreamsPerConn int
+
+	StopSendingWithin Time
+	ColdFrom          float64
+	WarmUp            Time
+	TipMultiple       float64
+	OverloadFor       Time
+	SettleAfterDoubt  Time
+}
+
+// EventKind tells what an Event is.
+type EventKind uint8
+
+// Kinds of event. The fields each one uses are in brackets.
+const (
+	Arrival   EventKind = iota + 1 // a new message [Message Class Tenant Dest Key Grace]
+	Outcome                        // an attempt ended [Message Attempt Endpoint Result Lag Closed Wait Report]
+	Started                        // a streamed answer began [Message Attempt Endpoint Lag]
+	Withdrawn                      // nobody wants the message any more [Message]
+	Tick                           // a timer came due [Mark]
+	Probed                         // a probe ended [Endpoint Result Lag Report]
+	List                           // the endpoint list [ListKind Entries]
+)
+
+// Result is how an attempt or a probe ended.
+type Result uint8
+
+// Results.
+const (
+	OK Result = iota
+	Errored
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// ListKind tells how a List event relates to the list before it.
+type ListKind uint8
+
+// Kinds of list.
+const (
+	ListDelta ListKind = iota
+	ListFull
+	ListCached
+	ListFailed
+)
+
+// Health is an endpoint's standing in the list; it says nothing of outages.
+type Health uint8
+
+// Standings.
+const (
+	Draining Health = iota
+	Ready
+	Gone
+)
+
+// Entry is one line of the endpoint list.
+type Entry struct {
+	Endpoint Endpoint
+	Dest     int
+	Zone     int
+	Kind     int
+	Health   Health
+	Weight   float64
+}
+
+// Event is something a Dispatcher is told.
+type Event struct {
+	Kind     EventKind
+	Message  MessageID
+	Class    int
+	Tenant   int
+	Dest     int
+	Key      uint64 // 0 is no key
+	Grace    Time   // time until the message is given up
+	Attempt  int
+	Endpoint Endpoint
+	Result   Result
+	Closed   bool // the message has ended
+	Lag      Time
+	Wait     Time // told wait, 0 if none
+	Report   []float32
+	Mark     uint64
+	ListKind ListKind
+	Entries  []Entry
+}
+
+// ActionKind tells what an Action is.
+type ActionKind uint8
+
+// Kinds of action. The fields each one uses are in brackets.
+const (
+	Send   ActionKind = iota + 1 // start an attempt [Message Endpoint After: its time-out, 0 is the deadline]
+	Refuse                       // final: handed back, harmless to repeat [Message After: stay away so long]
+	Fail                         // final: nothing promised [Message]
+	Cancel                       // stop waiting for an attempt [Message Attempt]
+	Timer                        // ask for a Tick [After Mark]
+	Probe                        // check an endpoint [Endpoint]
+	Note                         // a line for the operators [Text]
+)
+
+// Action is something a Dispatcher wants done.
+type Action struct {
+	Kind     ActionKind
+	Message  MessageID
+	Attempt  int
+	Endpoint Endpoint
+	After    Time
+	Mark     uint64
+	Text     string
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,1111 @@
+package control
+
+// The interface - settings, events, actions - is in api.go. This file holds
+// every decision. A message's path: arrive -> hold (lanes of its destination)
+// -> dispatch -> gate -> launch -> outcome -> back to its hold, or finish.
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// Tuned values. None is a figure of one deployment; each says what it trades.
+const (
+	fairF       = 4                 // F: completions of a whole window between two revisions
+	cleanShare  = 0.1               // an interval with more than this share of bad ends is not clean
+	latGain     = 1.0 / 8           // weight of a new latency sample
+	baseGain    = 1.0 / 64          // the same for the long view, against which slow is told
+	devs        = 6                 // deviations past the mean before silence is suspicious
+	firstLat    = 400 * Millisecond // latency believed before the first answer
+	leastSilent = 300 * Millisecond // silence shorter than this is never suspicious: short pauses are common
+	failStreak  = 3                 // failed calls in a row that make an endpoint suspect
+	slowFactor  = 3                 // latency over its long view by this much: a slow destination
+	trialGrow   = 1.5               // each failed trial spaces the next one so much wider ...
+	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
+	backoffBase = 100 * Millisecond // first pause after a refusal that told no wait; doubles up to trialMost
+	rateCut     = 0.85              // release rate after a refusal, of what was getting through
+	rateRise    = 0.03              // growth of the release rate with each ok
+	rateTau     = 2 * Second        // memory of the measured rates
+	demandTau   = 10 * Second       // memory of the demand that a ramp is sized by
+	rateBurst   = 0.5               // seconds of the release rate that may go at once
+	roughSlack  = 1.5               // a rough listed rate may be this much too low
+	rampMargin  = 1.2               // a ramp's rate over own demand x warmth; all senders alike stay under tip-multiple
+	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
+	openReserve = 16                // one part in so many of max-open is kept free for better messages
+	wakeTicks   = 4                 // ticks between looks at the clock while anything is held or out
+)
+
+// message is one message from arrival to its end and its last outcome.
+type message struct {
+	id                MessageID
+	class             *Class
+	ci                int
+	dest              *dest
+	key               *keyTurn
+	born, deadline    Time // when it was first handed in, when it is given up
+	arrived           uint64
+	over, held, ended bool
+	tries             int
+	out               *call
+	doubt             bool // an attempt may have run ...
+	doubtAt           Time // ... the first such was sent then ...
+	doubtZone         int  // ... to this zone
+	prev, next        *message
+	lane              *lane
+}
+
+// call is one call out, holding a slot: a message, or several of one round.
+type call struct {
+	ep     *endpoint
+	sent   Time
+	msgs   []*message
+	left   int
+	trial  bool
+	asked  bool // cancelled by us already
+	result Result
+}
+
+// keyTurn orders the messages that share a key.
+type keyTurn struct {
+	key   uint64
+	queue []*message
+	rest  Time
+}
+
+// lane is a part of a hold, oldest first.
+type lane struct {
+	head, tail *message
+}
+
+// endpoint is a place to send to, with its own health.
+type endpoint struct {
+	id        Endpoint
+	dest      *dest
+	zone      int
+	health    Health
+	pace      *pace
+	calls     []*call // out, oldest first
+	conns     int     // connections thought open
+	used      Time    // last use, for the idle limit
+	maxOut    int     // connection cap learned from connect failures, 0 none
+	heard     Time    // last answer of any kind
+	okSent    Time    // send time of the newest call that was answered ok
+	bad       int     // failed calls in a row
+	suspect   bool
+	downAt    Time // when it last was well, while suspect
+	proven    bool // while suspect: last failure proved that calls do not run
+	probeOK   bool
+	probing   bool
+	trialAt   Time
+	trialGap  Time
+	coldAt    Time // start of its ramp, 0 none
+	push      float64
+	pushAt    Time
+	rankCache float64
+}
+
+// pace is what bounds the rate to a destination, or to one route where routes are apart.
+type pace struct {
+	wait      Time // told, or our own backoff
+	rate      float64
+	bound     float64
+	tokens    float64
+	at        Time
+	cutAt     Time
+	streak    int
+	fullSince Time
+	ok        meter
+}
+
+// dest is a destination: its hold, turn counter, window and what was learned.
+type dest struct {
+	no, kind, batch int
+	weight          float64
+	eps             []*endpoint
+	pace            *pace
+	lanes           []lane
+	held            int
+	acc             float64
+	w, wmax         int
+	starting        bool
+	ends, badEnds   int
+	lat, dev, base  float64
+	demand          meter
+	blocked         uint64
+}
+
+// meter is a decaying rate.
+type meter struct {
+	v   float64
+	at  Time
+	tau Time
+	t0  Time
+}
+
+func (m *meter) add(now Time, n float64) {
+	m.v = m.v*math.Exp(-float64(now-m.at)/float64(m.tau)) + n
+	m.at = now
+}
+
+// rate is per second; the start is corrected for the short history.
+func (m *meter) rate(now Time) float64 {
+	span := 1 - math.Exp(-float64(now-m.t0+Second/2)/float64(m.tau))
+	return m.v * math.Exp(-float64(now-m.at)/float64(m.tau)) * float64(Second) / float64(m.tau) / span
+}
+
+// Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
+type Dispatcher struct {
+	set     Settings
+	rng     uint64
+	now     Time
+	out     []Action
+	msgs    map[MessageID]*message
+	keys    map[uint64]*keyTurn
+	byNo    map[int]*dest
+	byID    map[Endpoint]*endpoint
+	dests   []*dest
+	busy    int // slots taken
+	open    int // messages owed an answer
+	count   uint64
+	round   uint64
+	wake    Time
+	tenants []meter
+	all     meter
+	quota   float64
+}
+
+// New returns a Dispatcher, or an error that names the setting at fault.
+func New(s Settings, seed uint64) (*Dispatcher, error) {
+	checks := []struct {
+		ok   bool
+		name string
+	}{
+		{s.Slots >= 1, "extra.slots"}, {s.MaxOpen >= 1, "limits.max-open"}, {s.MaxTries >= 1, "limits.most-tries"},
+		{s.Instances >= 1, "instances"}, {s.Tick >= 1, "tick"}, {len(s.Classes) > 0, "classes.count"},
+		{s.ColdFrom <= 1, "rules.cold-from"},
+	}
+	for _, c := range checks {
+		if !c.ok {
+			return nil, fmt.Errorf("setting %s: %w", c.name, errRange)
+		}
+	}
+	d := &Dispatcher{
+		set: s, rng: seed*2862933555777941757 + 3037000493, msgs: map[MessageID]*message{}, keys: map[uint64]*keyTurn{},
+		byNo: map[int]*dest{}, byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)),
+	}
+	for _, t := range s.Tenants {
+		d.quota += t.Quota
+	}
+	return d, nil
+}
+
+var errRange = errors.New("out of range")
+
+// Step handles the events of one round, dispatches once and returns actions with its own appended.
+func (d *Dispatcher) Step(now Time, events []Event, actions []Action) []Action {
+	if d.round == 0 {
+		d.all = meter{tau: demandTau, at: now, t0: now}
+		for i := range d.tenants {
+			d.tenants[i] = d.all
+		}
+	}
+	d.now, d.out = now, actions
+	d.round++
+	for i := range events {
+		d.handle(&events[i])
+	}
+	d.watch()
+	d.dispatch()
+	d.shed()
+	if (d.busy > 0 || d.open > 0) && d.wake <= now {
+		after := wakeTicks * d.set.Tick
+		d.wake = now + after
+		d.out = append(d.out, Action{Kind: Timer, After: after})
+	}
+	actions, d.out = d.out, nil
+	return actions
+}
+
+func (d *Dispatcher) handle(e *Event) {
+	switch e.Kind {
+	case Arrival:
+		d.arrive(e)
+	case Outcome:
+		d.outcome(e)
+	case Withdrawn:
+		if m := d.msgs[e.Message]; m != nil {
+			d.end(m)
+		}
+	case Tick:
+		if m := d.msgs[MessageID(e.Mark-1)]; e.Mark > 0 && m != nil && !m.ended {
+			d.finish(m)
+		}
+	case Probed:
+		d.probed(e)
+	case List:
+		d.list(e)
+	}
+}
+
+// random returns a number from 0 to 1, from the seed alone.
+func (d *Dispatcher) random() float64 {
+	d.rng ^= d.rng << 13
+	d.rng ^= d.rng >> 7
+	d.rng ^= d.rng << 17
+	return float64(d.rng>>11) / (1 << 53)
+}
+
+// ---- arrival, hold, end ----
+
+func (d *Dispatcher) arrive(e *Event) {
+	if e.Class < 0 || e.Class >= len(d.set.Classes) {
+		d.out = append(d.out, Action{Kind: Refuse, Message: e.Message})
+		return
+	}
+	c := &d.set.Classes[e.Class]
+	d.count++
+	m := &message{id: e.Message, class: c, ci: e.Class, dest: d.dest(e.Dest, 0), arrived: d.count, deadline: d.now + e.Grace}
+	m.born = m.deadline - c.Deadline
+	m.over = d.overShare(e.Tenant)
+	d.msgs[m.id] = m
+	d.open++
+	m.dest.demand.add(d.now, 1)
+	// The answer leaves before the time is up, one round early for rounding.
+	d.out = append(d.out, Action{Kind: Timer, After: max(e.Grace-2*d.set.Tick, 0), Mark: uint64(m.id) + 1})
+	if c.InOrder && e.Key != 0 {
+		k := d.keys[e.Key]
+		if k == nil {
+			k = &keyTurn{key: e.Key}
+			d.keys[e.Key] = k
+		}
+		m.key = k
+		k.queue = append(k.queue, m)
+		d.turn(k)
+		return
+	}
+	d.hold(m)
+}
+
+// overShare tells whether a tenant now sends more than its share. Only the part of the fleet's traffic
+// that comes here is seen, so the share is measured against this dispatcher's own traffic.
+func (d *Dispatcher) overShare(t int) bool {
+	d.all.add(d.now, 1)
+	if t < 0 || t >= len(d.tenants) || d.quota <= 0 {
+		return false
+	}
+	d.tenants[t].add(d.now, 1)
+	part := max(1/float64(d.set.Instances), d.all.rate(d.now)/d.quota)
+	return d.tenants[t].rate(d.now) > d.set.Tenants[t].Quota*part*1.1
+}
+
+// turn puts the message whose turn it is into its hold. One that waits for its turn is in no hold.
+func (d *Dispatcher) turn(k *keyTurn) {
+	for len(k.queue) > 0 && k.queue[0].ended && k.queue[0].out == nil {
+		k.queue = k.queue[1:]
+	}
+	if len(k.queue) == 0 {
+		if k.rest <= d.now {
+			delete(d.keys, k.key)
+		}
+		return
+	}
+	if m := k.queue[0]; !m.ended && !m.held && m.out == nil {
+		d.hold(m)
+	}
+}
+
+// hold puts a message into its lane, by age. A hold turning non-empty takes the least other counter.
+func (d *Dispatcher) hold(m *message) {
+	t := m.dest
+	if t.held == 0 {
+		least, found := 0.0, false
+		for _, o := range d.dests {
+			if o != t && (o.held > 0 || o.w > 0) && (!found || o.acc < least) {
+				least, found = o.acc, true
+			}
+		}
+		t.acc = least
+	}
+	l := &t.lanes[m.ci*2+b2i(m.over)]
+	at := l.tail
+	for at != nil && at.arrived > m.arrived {
+		at = at.prev
+	}
+	m.prev, m.lane, m.held = at, l, true
+	if at == nil {
+		m.next, l.head = l.head, m
+	} else {
+		m.next, at.next = at.next, m
+	}
+	if m.next == nil {
+		l.tail = m
+	} else {
+		m.next.prev = m
+	}
+	t.held++
+}
+
+func (d *Dispatcher) unhold(m *message) {
+	if !m.held {
+		return
+	}
+	if m.prev == nil {
+		m.lane.head = m.next
+	} else {
+		m.prev.next = m.next
+	}
+	if m.next == nil {
+		m.lane.tail = m.prev
+	} else {
+		m.next.prev = m.prev
+	}
+	m.prev, m.next, m.lane, m.held = nil, nil, nil, false
+	m.dest.held--
+}
+
+// finish gives a final answer: handed back where that is provably harmless, else failed.
+func (d *Dispatcher) finish(m *message) {
+	a := Action{Kind: Fail, Message: m.id}
+	if d.refusable(m) {
+		a.Kind = Refuse
+	}
+	d.out = append(d.out, a)
+	d.end(m)
+}
+
+// refusable tells whether handing the message in again can do no harm.
+func (d *Dispatcher) refusable(m *message) bool {
+	maybe := m.doubt || m.out != nil
+	return !maybe || m.class.Effect == Free || m.class.Effect == Guarded && !m.class.ZoneGroup
+}
+
+// end drops a message that is answered; one with an attempt out is kept until its outcome.
+func (d *Dispatcher) end(m *message) {
+	if !m.ended {
+		m.ended = true
+		d.open--
+		d.unhold(m)
+	}
+	if m.out != nil {
+		return
+	}
+	delete(d.msgs, m.id)
+	if m.key != nil {
+		d.turn(m.key)
+	}
+}
+
+// worth is what delivering the message at t would earn.
+func (d *Dispatcher) worth(m *message, t Time) float64 {
+	c, v := m.class, m.class.Worth
+	if m.over {
+		v *= d.set.OverShare
+	}
+	late := t - m.born - c.Aim
+	switch {
+	case t >= m.deadline:
+		return 0
+	case late <= 0:
+		return v
+	case d.set.LateHalving:
+		return v * max(c.LateWorth, math.Exp2(-float64(late)/float64(max(c.Aim, 1))))
+	}
+	return v * (1 - (1-c.LateWorth)*float64(late)/float64(max(c.Deadline-c.Aim, 1)))
+}
+
+// shed keeps room below max-open by handing back what is worth least, from the lanes' two ends.
+// Guards against overload and long outages filling the hold, where better messages would be turned
+// away unseen. It could hurt where an outage ends just after: the reserve is kept small for that.
+func (d *Dispatcher) shed() {
+	for d.open > d.set.MaxOpen-d.set.MaxOpen/openReserve-1 {
+		var worst *message
+		least := math.Inf(1)
+		for _, t := range d.dests {
+			ahead := Time(float64(t.held) / max(t.pace.ok.rate(d.now), 0.2) * float64(Second))
+			for i := range t.lanes {
+				for _, m := range []*message{t.lanes[i].head, t.lanes[i].tail} {
+					if m == nil || !d.refusable(m) {
+						continue
+					}
+					if v := d.worth(m, d.now+min(ahead, 8*Second)); v < least {
+						worst, least = m, v
+					}
+				}
+			}
+		}
+		if worst == nil {
+			return
+		}
+		d.finish(worst)
+	}
+}
+
+// ---- ordinary path: turns and windows ----
+
+// dispatch hands free slots to the destinations with the smallest counters.
+func (d *Dispatcher) dispatch() {
+	for {
+		var best *dest
+		for _, t := range d.dests {
+			if t.held > 0 && t.blocked != d.round && (best == nil || t.acc < best.acc) {
+				best = t
+			}
+		}
+		if best == nil {
+			return
+		}
+		if d.busy >= d.set.Slots {
+			d.reclaim()
+			return
+		}
+		if !d.release(best) {
+			best.blocked = d.round
+		}
+	}
+}
+
+// release sends the head of a destination's hold, with others in the same call where its kind allows.
+func (d *Dispatcher) release(t *dest) bool {
+	ep, trial := d.choose(t)
+	if ep == nil || (t.w >= d.room(t) && !(trial && t.w < d.ceiling(t))) {
+		return false
+	}
+	m := d.head(t, ep, trial)
+	if m == nil {
+		if trial && d.set.Probes && !ep.probing && t.held > 0 {
+			ep.probing, ep.trialAt = true, d.now+ep.trialGap
+			d.out = append(d.out, Action{Kind: Probe, Endpoint: ep.id})
+		}
+		return false
+	}
+	c := &call{ep: ep, sent: d.now, trial: trial}
+	for n := t.batch; m != nil && n > 0; n-- {
+		d.launch(m, c)
+		if trial {
+			break
+		}
+		m = d.head(t, ep, false)
+	}
+	d.opened(t, ep, c)
+	return true
+}
+
+// opened accounts for a call that has just gone out.
+func (d *Dispatcher) opened(t *dest, ep *endpoint, c *call) {
+	d.busy++
+	t.w++
+	ep.calls = append(ep.calls, c)
+	if need := (len(ep.calls) + d.streams() - 1) / d.streams(); ep.conns < need || d.now-ep.used > d.set.ConnIdle {
+		ep.conns = need
+	}
+	ep.used = d.now
+	ep.pace.tokens--
+	ep.push -= 1 + batchExtra*float64(len(c.msgs)-1)
+	if c.trial {
+		ep.trialAt = d.now + ep.trialGap
+		ep.trialGap = min(Time(float64(ep.trialGap)*trialGrow), trialMost)
+		ep.trialAt += Time(d.random() * float64(ep.trialGap) / 4)
+	}
+}
+
+// launch sends one message as part of call c.
+func (d *Dispatcher) launch(m *message, c *call) {
+	d.unhold(m)
+	m.out = c
+	m.tries++
+	c.msgs = append(c.msgs, m)
+	c.left++
+	var limit Time
+	if !d.set.MayCancel && m.class.Effect != SingleShot {
+		limit = 3 * d.silence(m.dest)
+	}
+	d.out = append(d.out, Action{Kind: Send, Message: m.id, Endpoint: c.ep.id, After: limit})
+}
+
+// gate is the one place that permits a send; every rule that binds sends is here.
+func (d *Dispatcher) gate(m *message, ep *endpoint) bool {
+	c := m.class
+	switch {
+	case m.ended || m.out != nil || m.tries >= d.set.MaxTries || ep.dest != m.dest:
+		return false
+	case d.now+d.set.Tick >= m.deadline || ep.health != Ready || d.now < ep.pace.wait:
+		return false
+	case m.key != nil && (m.key.queue[0] != m || m.tries == 0 && d.now < m.key.rest):
+		return false
+	case !m.doubt || c.Effect == Free:
+		return true
+	case c.Effect == SingleShot:
+		return false
+	}
+	return d.now+d.set.Tick < m.doubtAt+c.Window && (!c.ZoneGroup || ep.zone == m.doubtZone)
+}
+
+// head picks the message to send: the lane head that would lose most worth by waiting until the hold
+// is worked off. With a short hold none loses any and it is the oldest of the best class.
+func (d *Dispatcher) head(t *dest, ep *endpoint, trial bool) *message {
+	var best *message
+	top := -1.0
+	soon := d.now + Time(t.lat)
+	wait := Time(float64(t.held) / max(t.pace.ok.rate(d.now), 0.2) * float64(Second))
+	wait = min(max(wait, 500*Millisecond), 8*Second)
+	for i := range t.lanes {
+		for m := t.lanes[i].head; m != nil; {
+			next := m.next
+			if d.spent(m) {
+				d.finish(m)
+				m = next
+				continue
+			}
+			if trial && !harmless(m, ep) || !d.gate(m, ep) {
+				break
+			}
+			now := d.worth(m, soon)
+			if v := now - d.worth(m, soon+wait) + now/100; v > top {
+				best, top = m, v
+			}
+			break
+		}
+	}
+	return best
+}
+
+// harmless tells whether a trial may risk the message: a doubtful unsafe one could only fail.
+func harmless(m *message, ep *endpoint) bool {
+	return m.class.Effect != SingleShot || ep.proven || ep.probeOK
+}
+
+// spent tells that no attempt can ever be made again.
+func (d *Dispatcher) spent(m *message) bool {
+	if m.tries >= d.set.MaxTries || m.doubt && m.class.Effect == SingleShot {
+		return true
+	}
+	return m.doubt && m.class.Effect == Guarded && d.now+d.set.Tick >= m.doubtAt+m.class.Window
+}
+
+// ceiling is the most calls out to one destination: under three quarters of the slots.
+func (d *Dispatcher) ceiling(t *dest) int { return max(1, (3*d.set.Slots+3)/4-1) }
+
+// room is the window in force: half of the slots or less for a failing or slow destination.
+func (d *Dispatcher) room(t *dest) int {
+	most := d.ceiling(t)
+	if t.lat > slowFactor*t.base || t.troubled() {
+		most = min(most, max(1, d.set.Slots/2))
+	}
+	return min(t.wmax, most)
+}
+
+func (t *dest) troubled() bool {
+	for _, ep := range t.eps {
+		if ep.suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// revise is the window's completion test; w still counts the call that ended.
+func (d *Dispatcher) revise(t *dest, r Result) {
+	if r == Cancelled || r == Moot {
+		return
+	}
+	if r != OK {
+		t.starting = false
+		t.badEnds++
+	}
+	t.ends++
+	if t.starting {
+		t.wmax = min(t.wmax+1, d.ceiling(t))
+		return
+	}
+	if t.ends < fairF*t.wmax {
+		return
+	}
+	if t.w >= t.wmax {
+		if float64(t.badEnds) <= cleanShare*float64(t.ends) {
+			t.wmax = min(t.wmax+1, d.ceiling(t))
+		} else {
+			t.wmax = max(t.wmax-1, 1)
+		}
+	}
+	t.ends, t.badEnds = 0, 0
+}
+
+// ---- outcomes and what is learned from them ----
+
+func (d *Dispatcher) outcome(e *Event) {
+	m := d.msgs[e.Message]
+	if m == nil || m.out == nil || m.tries-1 != e.Attempt {
+		return
+	}
+	c := m.out
+	m.out = nil
+	d.settle(c, e)
+	if !ranNot(e.Result) && e.Result != OK {
+		if !m.doubt {
+			m.doubt, m.doubtAt, m.doubtZone = true, c.sent, c.ep.zone
+		}
+		if m.key != nil && e.Result != Errored {
+			m.key.rest = d.now + d.set.SettleAfterDoubt
+		}
+	}
+	switch {
+	case e.Closed || m.ended || e.Result == OK:
+		d.end(m)
+	case d.spent(m) || d.now+2*d.set.Tick >= m.deadline:
+		d.finish(m)
+	default:
+		d.hold(m)
+	}
+}
+
+// ranNot tells that a result proves the attempt never ran.
+func ranNot(r Result) bool { return r == Full || r == ConnectFailed || r == Moot }
+
+// settle takes one message of a call off it; the first outcome is learned from, the last frees the slot.
+func (d *Dispatcher) settle(c *call, e *Event) {
+	c.left--
+	if c.left == len(c.msgs)-1 {
+		d.learn(c, e)
+	}
+	if c.left > 0 {
+		return
+	}
+	t := c.ep.dest
+	weight := t.weight
+	if weight <= 0 {
+		weight = 1
+	}
+	t.acc += float64(d.now-c.sent) / float64(Second) / weight
+	d.revise(t, e.Result)
+	d.busy--
+	t.w--
+	for i, o := range c.ep.calls {
+		if o == c {
+			c.ep.calls = append(c.ep.calls[:i], c.ep.calls[i+1:]...)
+			break
+		}
+	}
+	c.ep.used = d.now
+}
+
+func (d *Dispatcher) learn(c *call, e *Event) {
+	ep, t := c.ep, c.ep.dest
+	d.reported(ep, e.Report)
+	switch e.Result {
+	case OK:
+		d.sample(t, float64(e.Lag))
+		d.succeeded(ep, c.sent)
+	case Full:
+		ep.heard = d.now
+		d.refused(ep, c, e.Wait)
+	case ConnectFailed:
+		// Connect failures amid successes tell of a connection cap, not of an outage.
+		if ep.okSent >= c.sent-d.set.ConnectTimeout && ep.okSent > 0 && len(ep.calls) > 1 {
+			ep.maxOut = max(1, len(ep.calls)-1)
+			return
+		}
+		d.failed(ep, true)
+	case TimedOut, Reset, Errored:
+		if e.Result != TimedOut {
+			ep.heard = d.now
+		}
+		d.failed(ep, false)
+	}
+}
+
+// sample learns the latency of a destination.
+func (d *Dispatcher) sample(t *dest, lag float64) {
+	if t.base == 0 {
+		t.lat, t.dev, t.base = lag, lag/2, lag
+		return
+	}
+	t.dev += latGain * (math.Abs(lag-t.lat) - t.dev)
+	t.lat += latGain * (lag - t.lat)
+	t.base += baseGain * (lag - t.base)
+}
+
+// silence is how long a destination may say nothing with a call out before that is suspicious.
+func (d *Dispatcher) silence(t *dest) Time {
+	if t.base == 0 {
+		return devs * firstLat / 2
+	}
+	return max(leastSilent, Time(t.lat+devs*t.dev))
+}
+
+func (d *Dispatcher) succeeded(ep *endpoint, sent Time) {
+	ep.okSent = max(ep.okSent, sent)
+	p := ep.pace
+	p.ok.add(d.now, 1)
+	p.rate *= 1 + rateRise
+	if p.streak > 0 && p.fullSince > 0 && d.now-p.fullSince > d.set.OverloadFor {
+		d.ramp(ep.dest, ep)
+	}
+	p.streak, p.fullSince = 0, 0
+	if ep.suspect {
+		if d.now-ep.downAt > d.set.OverloadFor/2 {
+			d.chill(ep)
+		}
+		ep.suspect, ep.probeOK, ep.proven = false, false, false
+	}
+	ep.heard, ep.bad = d.now, 0
+}
+
+// ramp makes every endpoint that shares a refusing limit return slowly: it may have been shut.
+func (d *Dispatcher) ramp(t *dest, ep *endpoint) {
+	for _, o := range t.eps {
+		if o.pace == ep.pace {
+			d.chill(o)
+		}
+	}
+}
+
+func (d *Dispatcher) chill(ep *endpoint) { ep.coldAt, ep.push, ep.pushAt = d.now, 0, d.now }
+
+// failed counts a failed call or probe; a streak makes the endpoint suspect.
+func (d *Dispatcher) failed(ep *endpoint, proven bool) {
+	ep.bad++
+	ep.proven = proven
+	ep.probeOK = false
+	if ep.bad >= failStreak {
+		d.doubtful(ep)
+	}
+}
+
+// doubtful stops feeding an endpoint: its messages are held and single spaced trials find out.
+// Guards against crashes, silence, hangs and floods of errors alike. It could hurt at an endpoint whose
+// answers are merely rare and slow: any ok lifts it at once.
+func (d *Dispatcher) doubtful(ep *endpoint) {
+	if ep.suspect {
+		return
+	}
+	ep.suspect, ep.downAt = true, ep.heard
+	if ep.heard == 0 {
+		ep.downAt = d.now
+	}
+	ep.trialGap = d.silence(ep.dest)
+	ep.trialAt = d.now + Time(d.random()*float64(ep.trialGap))
+}
+
+// refused learns from a refusal: waits are kept, the release rate falls below what was getting through.
+func (d *Dispatcher) refused(ep *endpoint, c *call, wait Time) {
+	p := ep.pace
+	if p.fullSince == 0 {
+		p.fullSince = d.now
+	}
+	fresh := c.sent >= p.cutAt
+	if fresh {
+		p.streak++
+	}
+	if wait > 0 {
+		p.wait = max(p.wait, d.now+wait+d.set.Tick)
+	} else if fresh {
+		pause := min(backoffBase<<min(p.streak-1, 6), trialMost)
+		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
+	}
+	if fresh {
+		p.cutAt = d.now
+		ok := max(p.ok.rate(d.now), 0.5)
+		if p.rate == 0 || p.rate > ok {
+			p.rate = ok
+		}
+		p.rate = max(p.rate*rateCut, 0.5)
+		p.tokens = min(p.tokens, 1)
+	}
+}
+
+// reported takes the bounds that answers tell.
+func (d *Dispatcher) reported(ep *endpoint, report []float32) {
+	if i := d.set.ReportLimit; i >= 0 && i < len(report) && report[i] > 0 {
+		ep.pace.bound = float64(report[i])
+	}
+}
+
+func (d *Dispatcher) probed(e *Event) {
+	ep := d.byID[e.Endpoint]
+	if ep == nil || !ep.probing {
+		return
+	}
+	ep.probing = false
+	d.reported(ep, e.Report)
+	if e.Result == OK {
+		ep.probeOK = true
+	} else {
+		d.failed(ep, false)
+	}
+}
+
+// ---- health ----
+
+// watch judges calls still out by their age and looks after those that are stuck.
+func (d *Dispatcher) watch() {
+	for _, t := range d.dests {
+		if t.w == 0 {
+			continue
+		}
+		limit := d.silence(t)
+		for _, ep := range t.eps {
+			d.inspect(ep, limit)
+		}
+	}
+}
+
+func (d *Dispatcher) inspect(ep *endpoint, limit Time) {
+	if len(ep.calls) == 0 {
+		return
+	}
+	if old := ep.calls[0]; d.now-old.sent > limit && d.now-ep.heard > limit {
+		d.doubtful(ep)
+	}
+	other := d.healthy(ep.dest)
+	for _, c := range ep.calls {
+		age := d.now - c.sent
+		if age <= limit {
+			break
+		}
+		patience := 2 * limit
+		if c.trial {
+			patience = max(patience, 2*ep.trialGap)
+		}
+		stuck := ep.okSent > c.sent || ep.suspect && (other || c.trial)
+		if age > patience && stuck {
+			d.recall(c, false)
+		}
+	}
+}
+
+// healthy tells whether a destination has an endpoint that is not suspect.
+func (d *Dispatcher) healthy(t *dest) bool {
+	for _, ep := range t.eps {
+		if ep.health == Ready && !ep.suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// recall stops waiting for a call whose messages can go again; force also gives up the others.
+func (d *Dispatcher) recall(c *call, force bool) bool {
+	if c.asked || !d.set.MayCancel {
+		return false
+	}
+	for _, m := range c.msgs {
+		if m.out == c && !force && (m.class.Effect == SingleShot || m.tries >= d.set.MaxTries) {
+			return false
+		}
+	}
+	c.asked = true
+	for _, m := range c.msgs {
+		if m.out == c {
+			d.out = append(d.out, Action{Kind: Cancel, Message: m.id, Attempt: m.tries - 1})
+		}
+	}
+	return true
+}
+
+// reclaim takes back the slot of the oldest call at a suspect endpoint when none is free: a hang must
+// not starve the others. Calls that can go again come first.
+func (d *Dispatcher) reclaim() {
+	for _, force := range []bool{false, true} {
+		var old *call
+		for _, t := range d.dests {
+			for _, ep := range t.eps {
+				if !ep.suspect || len(ep.calls) == 0 {
+					continue
+				}
+				for _, c := range ep.calls {
+					if c.asked {
+						return
+					}
+				}
+				if c := ep.calls[0]; d.now-c.sent > 2*d.silence(t) && (old == nil || c.sent < old.sent) {
+					old = c
+				}
+			}
+		}
+		if old != nil && d.recall(old, force) {
+			return
+		}
+	}
+}
+
+// choose picks an endpoint: a trial that is due, else the least loaded, warm and near one.
+func (d *Dispatcher) choose(t *dest) (best *endpoint, trial bool) {
+	for _, ep := range t.eps {
+		if ep.health != Ready || d.now < ep.pace.wait || ep.maxOut > 0 && len(ep.calls) >= ep.maxOut {
+			continue
+		}
+		if ep.suspect {
+			if d.now >= ep.trialAt && !trying(ep) {
+				return ep, true
+			}
+			continue
+		}
+		if !d.paced(ep) {
+			continue
+		}
+		ep.rankCache = d.rank(ep)
+		if best == nil || ep.rankCache < best.rankCache {
+			best = ep
+		}
+	}
+	return best, false
+}
+
+func trying(ep *endpoint) bool {
+	for _, c := range ep.calls {
+		if c.trial {
+			return true
+		}
+	}
+	return ep.probing
+}
+
+// rank is the load of an endpoint in calls; a handshake or a crossing counts as one more.
+func (d *Dispatcher) rank(ep *endpoint) float64 {
+	v := float64(len(ep.calls))
+	if ep.zone != d.set.Zone {
+		v++
+	}
+	if d.now-ep.used > d.set.ConnIdle || len(ep.calls) >= ep.conns*d.streams() {
+		v++
+	}
+	return v
+}
+
+func (d *Dispatcher) streams() int { return max(1, d.set.StreamsPerConn) }
+
+// paced tells whether the release rate and the ramp leave room for one more call.
+func (d *Dispatcher) paced(ep *endpoint) bool {
+	p := ep.pace
+	rate := p.rate
+	if p.bound > 0 && (rate == 0 || rate > p.bound) {
+		rate = p.bound
+		if p.rate > 0 {
+			p.rate = rate
+		}
+	}
+	if rate > 0 {
+		p.tokens = min(p.tokens+rate*float64(d.now-p.at)/float64(Second), max(1, rate*rateBurst))
+	} else {
+		p.tokens = 1
+	}
+	p.at = d.now
+	return p.tokens >= 1 && d.warm(ep)
+}
+
+// warm holds an endpoint back from an outage to its own demand times its warmth.
+// Guards against pushing a cold endpoint over, with other senders doing the same.
+func (d *Dispatcher) warm(ep *endpoint) bool {
+	if ep.coldAt == 0 {
+		return true
+	}
+	gone := float64(d.now-ep.coldAt) / float64(max(d.set.WarmUp, 1))
+	if gone >= 1 {
+		ep.coldAt = 0
+		return true
+	}
+	n := 0
+	for _, o := range ep.dest.eps {
+		n += b2i(o.health == Ready)
+	}
+	rate := max(ep.dest.demand.rate(d.now), 1) / float64(max(n, 1)) * (d.set.ColdFrom + (1-d.set.ColdFrom)*gone) * rampMargin
+	ep.push = min(ep.push+rate*float64(d.now-ep.pushAt)/float64(Second), 1)
+	ep.pushAt = d.now
+	return ep.push >= 1
+}
+
+// ---- the endpoint list ----
+
+// dest returns a destination, making it when it is first heard of.
+func (d *Dispatcher) dest(no, kind int) *dest {
+	t := d.byNo[no]
+	if t == nil {
+		t = &dest{no: no, kind: kind, batch: 1, starting: true, lanes: make([]lane, 2*len(d.set.Classes))}
+		t.pace = d.newPace()
+		t.demand = meter{tau: demandTau, at: d.now, t0: d.now}
+		t.lat = float64(firstLat)
+		d.byNo[no] = t
+		d.dests = append(d.dests, t)
+		t.wmax = max(1, d.set.Slots/len(d.dests))
+	}
+	return t
+}
+
+func (d *Dispatcher) newPace() *pace {
+	return &pace{at: d.now, tokens: 1, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
+}
+
+// list takes a new endpoint list; what a whole list leaves out is gone.
+func (d *Dispatcher) list(e *Event) {
+	if e.ListKind == ListFailed {
+		return
+	}
+	if e.ListKind != ListDelta {
+		for _, t := range d.dests {
+			for _, ep := range t.eps {
+				ep.health = Gone
+			}
+		}
+	}
+	for i := range e.Entries {
+		d.entry(&e.Entries[i])
+	}
+	for _, t := range d.dests {
+		kept := t.eps[:0]
+		for _, ep := range t.eps {
+			if ep.health != Gone || len(ep.calls) > 0 {
+				kept = append(kept, ep)
+			}
+		}
+		t.eps = kept
+		if t.starting && t.ends == 0 {
+			t.wmax = max(1, d.set.Slots/len(d.dests))
+		}
+	}
+}
+
+func (d *Dispatcher) entry(n *Entry) {
+	t := d.dest(n.Dest, n.Kind)
+	t.kind = n.Kind
+	apart := false
+	if n.Kind < len(d.set.Kinds) {
+		t.batch, apart = d.set.Kinds[n.Kind].Batch, d.set.Kinds[n.Kind].RoutesApart
+	}
+	ep := d.byID[n.Endpoint]
+	if ep == nil {
+		ep = &endpoint{id: n.Endpoint, dest: t, pace: t.pace}
+		if apart {
+			ep.pace = d.newPace()
+		}
+		d.byID[n.Endpoint] = ep
+	}
+	if !containsEp(t.eps, ep) {
+		t.eps = append(t.eps, ep)
+	}
+	ep.zone, ep.health = n.Zone, n.Health
+	if n.Weight > 0 && d.set.Weights != WeightNone {
+		t.weight = n.Weight
+		bound := n.Weight
+		if d.set.Weights == WeightRough {
+			bound *= roughSlack
+		}
+		ep.pace.bound = bound
+	}
+}
+
+func containsEp(list []*endpoint, ep *endpoint) bool {
+	for _, o := range list {
+		if o == ep {
+			return true
+		}
+	}
+	return false
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,160 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"whinrun/control"
+)
+
+// pairs holds the settings text; the first fault is kept, naming its key.
+type pairs struct {
+	at  map[string]string
+	err error
+}
+
+func (p *pairs) fault(key, what string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("setting %s: %s", key, what)
+	}
+}
+
+// num reads a number; a key that is absent gives the fallback, or a fault
+// where it is needed.
+func (p *pairs) num(key string, needed bool, fallback float64) float64 {
+	text, ok := p.at[key]
+	if !ok {
+		if needed {
+			p.fault(key, "missing")
+		}
+		return fallback
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		p.fault(key, fmt.Sprintf("%q is not a number", text))
+		return fallback
+	}
+	if v < 0 {
+		p.fault(key, fmt.Sprintf("%s is out of range", text))
+		return fallback
+	}
+	return v
+}
+
+func (p *pairs) count(key string, needed bool, fallback int) int {
+	v := p.num(key, needed, float64(fallback))
+	if v > math.MaxInt32 {
+		p.fault(key, fmt.Sprintf("%g is out of range", v))
+		return fallback
+	}
+	return int(v)
+}
+
+func (p *pairs) span(key string, needed bool) control.Time {
+	v := p.num(key, needed, 0)
+	if v > math.MaxInt64/4 {
+		p.fault(key, fmt.Sprintf("%g is out of range", v))
+		return 0
+	}
+	return control.Time(v)
+}
+
+func (p *pairs) yes(key string) bool { return p.at[key] == "true" }
+
+func (p *pairs) list(key string) []string {
+	if p.at[key] == "" {
+		return nil
+	}
+	return strings.Split(p.at[key], ",")
+}
+
+// ParseSettings reads path=value lines. Unknown keys are skipped.
+func ParseSettings(text string) (control.Settings, error) {
+	p := &pairs{at: make(map[string]string)}
+	for line := range strings.Lines(text) {
+		if k, v, ok := strings.Cut(strings.TrimSpace(line), "="); ok {
+			p.at[k] = v
+		}
+	}
+	s := control.Settings{
+		Me: p.count("me", false, 0), Instances: p.count("instances", true, 1), Zone: p.count("zone", false, 0),
+		Tick: p.span("tick", true), LateHalving: p.at["extra.late"] == "halving",
+		OverShare: p.num("over-share-worth", false, 1),
+		Slots:     p.count("extra.slots", true, 1), MaxOpen: p.count("limits.max-open", true, 1),
+		MaxTries: p.count("limits.most-tries", true, 1), MayCancel: p.yes("limits.may-cancel"),
+		Probes: p.yes("limits.probes"), RetryAfter: p.yes("limits.retry-after"),
+		MaxRetryAfter: p.span("limits.max-retry-after", false), ConnIdle: p.span("limits.conn-idle", false),
+		ConnectTimeout: p.span("limits.connect-timeout", false), StreamsPerConn: p.count("limits.streams-per-conn", false, 1),
+		StopSendingWithin: p.span("rules.stop-sending-within", false), ColdFrom: p.num("rules.cold-from", false, 1),
+		WarmUp: p.span("rules.warm-up", false), TipMultiple: p.num("rules.tip-multiple", false, 1),
+		OverloadFor: p.span("rules.overload-for", false), SettleAfterDoubt: p.span("rules.settle-after-doubt", false),
+		ReportLeft: -1, ReportLimit: -1,
+	}
+	switch p.at["weights"] {
+	case "nominal":
+		s.Weights = control.WeightNominal
+	case "rough":
+		s.Weights = control.WeightRough
+	}
+	for i, name := range p.list("report.names") {
+		switch name {
+		case "x0":
+			s.ReportLeft = i
+		case "x1":
+			s.ReportLimit = i
+		}
+	}
+	p.kinds(&s)
+	p.classes(&s)
+	for i := range p.count("tenants.count", false, 0) {
+		at := fmt.Sprintf("tenants.%d.", i)
+		s.Tenants = append(s.Tenants, control.Tenant{Name: p.at[at+"name"], Quota: p.num(at+"quota-per-s", true, 0)})
+		if p.err != nil {
+			break
+		}
+	}
+	return s, p.err
+}
+
+func (p *pairs) kinds(s *control.Settings) {
+	batch, apart := p.list("extra.batch-by-kind"), p.list("extra.routes-apart")
+	for i, name := range p.list("host-types") {
+		k := control.Kind{Name: name, Batch: 1}
+		if i < len(batch) {
+			n, err := strconv.Atoi(batch[i])
+			if err != nil || n < 1 {
+				p.fault("extra.batch-by-kind", fmt.Sprintf("%q is not a count", batch[i]))
+			}
+			k.Batch = n
+		}
+		k.RoutesApart = i < len(apart) && apart[i] == "true"
+		s.Kinds = append(s.Kinds, k)
+	}
+}
+
+func (p *pairs) classes(s *control.Settings) {
+	for i := range p.count("classes.count", true, 0) {
+		at := fmt.Sprintf("classes.%d.", i)
+		c := control.Class{
+			Name: p.at[at+"name"], ZoneGroup: p.at[at+"group"] == "zone", Window: p.span(at+"window", false),
+			Aim: p.span(at+"target", true), Deadline: p.span(at+"hard-limit", true), Worth: p.num(at+"gain", true, 1),
+			LateWorth: p.num(at+"late-worth", false, 0), InOrder: p.yes(at + "by-arrival"),
+		}
+		switch effect := p.at[at+"effect"]; effect {
+		case "free":
+			c.Effect = control.Free
+		case "guarded":
+			c.Effect = control.Guarded
+		case "single_shot":
+			c.Effect = control.SingleShot
+		default:
+			p.fault(at+"effect", fmt.Sprintf("%q is unknown", effect))
+		}
+		s.Classes = append(s.Classes, c)
+		if p.err != nil {
+			return
+		}
+	}
+}
