--- a/control/control.go
+++ b/control/control.go
@@ -665,6 +665,9 @@
 // settle takes one message of a call off it; the first outcome is learned from, the last frees the slot.
 func (d *Dispatcher) settle(c *call, e *Event) {
 	c.left--
+	if e.Wait > 0 { // every outcome's wait binds, also of a call learned from already
+		c.ep.pace.wait = max(c.ep.pace.wait, d.now+e.Wait+d.set.Tick)
+	}
 	if c.left == len(c.msgs)-1 {
 		d.learn(c, e)
 	}
@@ -797,9 +800,7 @@
 	if fresh {
 		p.streak++
 	}
-	if wait > 0 {
-		p.wait = max(p.wait, d.now+wait+d.set.Tick)
-	} else if fresh {
+	if wait == 0 && fresh {
 		pause := min(backoffBase<<min(p.streak-1, 6), trialMost)
 		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
 	}
