--- a/control/control.go
+++ b/control/control.go
@@ -5,9 +5,11 @@
 // -> dispatch -> gate -> launch -> outcome -> back to its hold, or finish.
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 )
 
 // Tuned values. None is a figure of one deployment; each says what it trades.
@@ -19,13 +21,14 @@
 	devs        = 6                 // deviations past the mean before silence is suspicious
 	firstLat    = 400 * Millisecond // latency believed before the first answer
 	leastSilent = 300 * Millisecond // silence shorter than this is never suspicious: short pauses are common
-	failStreak  = 3                 // failed calls in a row that make an endpoint suspect
+	failStreak  = 5                 // errors in a row that make an endpoint suspect
 	slowFactor  = 3                 // latency over its long view by this much: a slow destination
 	trialGrow   = 1.5               // each failed trial spaces the next one so much wider ...
 	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
 	backoffBase = 100 * Millisecond // first pause after a refusal that told no wait; doubles up to trialMost
-	rateCut     = 0.85              // release rate after a refusal, of what was getting through
-	rateRise    = 0.03              // growth of the release rate with each ok
+	rateCut     = 0.85              // release rate after a refusal, of the rate before
+	rateRise    = 0.1               // its growth in a second, as a part of the demand
+	leastRate   = 0.3               // and its floor, as a part of the demand
 	rateTau     = 2 * Second        // memory of the measured rates
 	demandTau   = 10 * Second       // memory of the demand that a ramp is sized by
 	rateBurst   = 0.5               // seconds of the release rate that may go at once
@@ -40,8 +43,8 @@
 type message struct {
 	id                MessageID
 	class             *Class
-	ci                int
 	dest              *dest
+	lane              int
 	key               *keyTurn
 	born, deadline    Time // when it was first handed in, when it is given up
 	arrived           uint64
@@ -51,19 +54,15 @@
 	doubt             bool // an attempt may have run ...
 	doubtAt           Time // ... the first such was sent then ...
 	doubtZone         int  // ... to this zone
-	prev, next        *message
-	lane              *lane
 }
 
 // call is one call out, holding a slot: a message, or several of one round.
 type call struct {
-	ep     *endpoint
-	sent   Time
-	msgs   []*message
-	left   int
-	trial  bool
-	asked  bool // cancelled by us already
-	result Result
+	ep           *endpoint
+	sent         Time
+	msgs         []*message
+	left         int
+	trial, asked bool // a trial of a suspect; called off by us
 }
 
 // keyTurn orders the messages that share a key.
@@ -73,74 +72,52 @@
 	rest  Time
 }
 
-// lane is a part of a hold, oldest first.
-type lane struct {
-	head, tail *message
-}
-
 // endpoint is a place to send to, with its own health.
 type endpoint struct {
-	id        Endpoint
-	dest      *dest
-	zone      int
-	health    Health
-	pace      *pace
-	calls     []*call // out, oldest first
-	conns     int     // connections thought open
-	used      Time    // last use, for the idle limit
-	maxOut    int     // connection cap learned from connect failures, 0 none
-	heard     Time    // last answer of any kind
-	okSent    Time    // send time of the newest call that was answered ok
-	bad       int     // failed calls in a row
-	suspect   bool
-	downAt    Time // when it last was well, while suspect
-	proven    bool // while suspect: last failure proved that calls do not run
-	probeOK   bool
-	probing   bool
-	trialAt   Time
-	trialGap  Time
-	coldAt    Time // start of its ramp, 0 none
-	push      float64
-	pushAt    Time
-	rankCache float64
+	id                      Endpoint
+	dest                    *dest
+	zone                    int
+	health                  Health
+	pace                    *pace
+	calls                   []*call // out, oldest first
+	conns, maxOut           int     // connections thought open; cap learned from connect failures, 0 none
+	used, heard, okSent     Time    // last use; last answer; send time of the newest call answered ok
+	bad                     int     // failed calls in a row
+	suspect, proven         bool    // not fed; its last failure proved that calls do not run there
+	probing, probeOK        bool
+	downAt, trialAt, coldAt Time // while suspect: since when, next trial; start of its ramp, 0 none
+	trialGap, pushAt        Time
+	push                    float64 // calls that the ramp permits now
 }
 
 // pace is what bounds the rate to a destination, or to one route where routes are apart.
 type pace struct {
-	wait      Time // told, or our own backoff
-	rate      float64
-	bound     float64
-	tokens    float64
-	at        Time
-	cutAt     Time
-	streak    int
-	fullSince Time
-	ok        meter
+	wait, at, cutAt, fullSince Time // wait is told, or our own backoff
+	rate, bound, tokens        float64
+	streak                     int
+	ok                         meter
 }
 
 // dest is a destination: its hold, turn counter, window and what was learned.
 type dest struct {
-	no, kind, batch int
-	weight          float64
-	eps             []*endpoint
-	pace            *pace
-	lanes           []lane
-	held            int
-	acc             float64
-	w, wmax         int
-	starting        bool
-	ends, badEnds   int
-	lat, dev, base  float64
-	demand          meter
-	blocked         uint64
-}
-
-// meter is a decaying rate.
+	eps            []*endpoint
+	pace           *pace
+	batch          int
+	weight, acc    float64
+	lanes          [][]*message // by class and over-share, oldest first
+	held           int
+	w, wmax        int
+	starting       bool
+	ends, badEnds  int
+	lat, dev, base float64 // latency, its deviation, its long view
+	demand         meter
+	blocked        uint64 // round in which nothing more can go
+}
+
+// meter is a rate with exponential decay.
 type meter struct {
-	v   float64
-	at  Time
-	tau Time
-	t0  Time
+	v           float64
+	at, tau, t0 Time
 }
 
 func (m *meter) add(now Time, n float64) {
@@ -151,28 +128,27 @@
 // rate is per second; the start is corrected for the short history.
 func (m *meter) rate(now Time) float64 {
 	span := 1 - math.Exp(-float64(now-m.t0+Second/2)/float64(m.tau))
-	return m.v * math.Exp(-float64(now-m.at)/float64(m.tau)) * float64(Second) / float64(m.tau) / span
+	return m.v * math.Exp(-float64(now-m.at)/float64(m.tau)) / m.tau.seconds() / span
 }
 
+func (t Time) seconds() float64 { return float64(t) / float64(Second) }
+
 // Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
 type Dispatcher struct {
-	set     Settings
-	rng     uint64
-	now     Time
-	out     []Action
-	msgs    map[MessageID]*message
-	keys    map[uint64]*keyTurn
-	byNo    map[int]*dest
-	byID    map[Endpoint]*endpoint
-	dests   []*dest
-	busy    int // slots taken
-	open    int // messages owed an answer
-	count   uint64
-	round   uint64
-	wake    Time
-	tenants []meter
-	all     meter
-	quota   float64
+	set          Settings
+	rng          uint64
+	now, wake    Time
+	out          []Action
+	msgs         map[MessageID]*message
+	keys         map[uint64]*keyTurn
+	byNo         map[int]*dest
+	byID         map[Endpoint]*endpoint
+	dests        []*dest
+	busy, open   int // slots taken; messages owed an answer
+	count, round uint64
+	tenants      []meter
+	all          meter
+	quota        float64
 }
 
 // New returns a Dispatcher, or an error that names the setting at fault.
@@ -265,9 +241,13 @@
 	}
 	c := &d.set.Classes[e.Class]
 	d.count++
-	m := &message{id: e.Message, class: c, ci: e.Class, dest: d.dest(e.Dest, 0), arrived: d.count, deadline: d.now + e.Grace}
+	m := &message{id: e.Message, class: c, dest: d.dest(e.Dest), arrived: d.count, deadline: d.now + e.Grace}
 	m.born = m.deadline - c.Deadline
 	m.over = d.overShare(e.Tenant)
+	m.lane = 2 * e.Class
+	if m.over {
+		m.lane++
+	}
 	d.msgs[m.id] = m
 	d.open++
 	m.dest.demand.add(d.now, 1)
@@ -327,41 +307,24 @@
 		}
 		t.acc = least
 	}
-	l := &t.lanes[m.ci*2+b2i(m.over)]
-	at := l.tail
-	for at != nil && at.arrived > m.arrived {
-		at = at.prev
-	}
-	m.prev, m.lane, m.held = at, l, true
-	if at == nil {
-		m.next, l.head = l.head, m
-	} else {
-		m.next, at.next = at.next, m
-	}
-	if m.next == nil {
-		l.tail = m
-	} else {
-		m.next.prev = m
+	l := t.lanes[m.lane]
+	at := len(l)
+	for at > 0 && l[at-1].arrived > m.arrived {
+		at--
 	}
+	t.lanes[m.lane] = slices.Insert(l, at, m)
+	m.held = true
 	t.held++
 }
 
 func (d *Dispatcher) unhold(m *message) {
-	if !m.held {
-		return
-	}
-	if m.prev == nil {
-		m.lane.head = m.next
-	} else {
-		m.prev.next = m.next
+	if m.held {
+		l := m.dest.lanes[m.lane]
+		i, _ := slices.BinarySearchFunc(l, m.arrived, func(o *message, n uint64) int { return cmp.Compare(o.arrived, n) })
+		m.dest.lanes[m.lane] = slices.Delete(l, i, i+1)
+		m.dest.held--
+		m.held = false
 	}
-	if m.next == nil {
-		m.lane.tail = m.prev
-	} else {
-		m.next.prev = m.prev
-	}
-	m.prev, m.next, m.lane, m.held = nil, nil, nil, false
-	m.dest.held--
 }
 
 // finish gives a final answer: handed back where that is provably harmless, else failed.
@@ -424,8 +387,9 @@
 		for _, t := range d.dests {
 			ahead := Time(float64(t.held) / max(t.pace.ok.rate(d.now), 0.2) * float64(Second))
 			for i := range t.lanes {
-				for _, m := range []*message{t.lanes[i].head, t.lanes[i].tail} {
-					if m == nil || !d.refusable(m) {
+				l := t.lanes[i]
+				for _, m := range l[max(0, len(l)-1):] {
+					if !d.refusable(m) {
 						continue
 					}
 					if v := d.worth(m, d.now+min(ahead, 8*Second)); v < least {
@@ -541,8 +505,8 @@
 	return d.now+d.set.Tick < m.doubtAt+c.Window && (!c.ZoneGroup || ep.zone == m.doubtZone)
 }
 
-// head picks the message to send: the lane head that would lose most worth by waiting until the hold
-// is worked off. With a short hold none loses any and it is the oldest of the best class.
+// head picks the message to send: of the oldest of each lane, the one that would lose most worth by
+// waiting until the hold is worked off. With a short hold none loses any and worth decides.
 func (d *Dispatcher) head(t *dest, ep *endpoint, trial bool) *message {
 	var best *message
 	top := -1.0
@@ -550,21 +514,19 @@
 	wait := Time(float64(t.held) / max(t.pace.ok.rate(d.now), 0.2) * float64(Second))
 	wait = min(max(wait, 500*Millisecond), 8*Second)
 	for i := range t.lanes {
-		for m := t.lanes[i].head; m != nil; {
-			next := m.next
-			if d.spent(m) {
-				d.finish(m)
-				m = next
-				continue
-			}
-			if trial && !harmless(m, ep) || !d.gate(m, ep) {
-				break
-			}
-			now := d.worth(m, soon)
-			if v := now - d.worth(m, soon+wait) + now/100; v > top {
-				best, top = m, v
-			}
-			break
+		for len(t.lanes[i]) > 0 && d.spent(t.lanes[i][0]) {
+			d.finish(t.lanes[i][0])
+		}
+		if len(t.lanes[i]) == 0 {
+			continue
+		}
+		m := t.lanes[i][0]
+		if trial && !harmless(m, ep) || !d.gate(m, ep) {
+			continue
+		}
+		now := d.worth(m, soon)
+		if v := now - d.worth(m, soon+wait) + now/100; v > top {
+			best, top = m, v
 		}
 	}
 	return best
@@ -596,12 +558,7 @@
 }
 
 func (t *dest) troubled() bool {
-	for _, ep := range t.eps {
-		if ep.suspect {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(t.eps, func(ep *endpoint) bool { return ep.suspect })
 }
 
 // revise is the window's completion test; w still counts the call that ended.
@@ -679,16 +636,12 @@
 	if weight <= 0 {
 		weight = 1
 	}
-	t.acc += float64(d.now-c.sent) / float64(Second) / weight
+	t.acc += (d.now - c.sent).seconds() / weight
 	d.revise(t, e.Result)
 	d.busy--
 	t.w--
-	for i, o := range c.ep.calls {
-		if o == c {
-			c.ep.calls = append(c.ep.calls[:i], c.ep.calls[i+1:]...)
-			break
-		}
-	}
+	i := slices.Index(c.ep.calls, c)
+	c.ep.calls = slices.Delete(c.ep.calls, i, i+1)
 	c.ep.used = d.now
 }
 
@@ -704,16 +657,16 @@
 		d.refused(ep, c, e.Wait)
 	case ConnectFailed:
 		// Connect failures amid successes tell of a connection cap, not of an outage.
-		if ep.okSent >= c.sent-d.set.ConnectTimeout && ep.okSent > 0 && len(ep.calls) > 1 {
+		if ep.bad == 0 && len(ep.calls) > 1 && d.now-ep.heard < d.silence(t) {
 			ep.maxOut = max(1, len(ep.calls)-1)
 			return
 		}
-		d.failed(ep, true)
-	case TimedOut, Reset, Errored:
-		if e.Result != TimedOut {
-			ep.heard = d.now
-		}
-		d.failed(ep, false)
+		d.failed(ep, true, failStreak)
+	case TimedOut, Reset:
+		d.failed(ep, false, failStreak)
+	case Errored:
+		ep.heard = d.now
+		d.failed(ep, false, 1)
 	}
 }
 
@@ -740,7 +693,6 @@
 	ep.okSent = max(ep.okSent, sent)
 	p := ep.pace
 	p.ok.add(d.now, 1)
-	p.rate *= 1 + rateRise
 	if p.streak > 0 && p.fullSince > 0 && d.now-p.fullSince > d.set.OverloadFor {
 		d.ramp(ep.dest, ep)
 	}
@@ -765,27 +717,25 @@
 
 func (d *Dispatcher) chill(ep *endpoint) { ep.coldAt, ep.push, ep.pushAt = d.now, 0, d.now }
 
-// failed counts a failed call or probe; a streak makes the endpoint suspect.
-func (d *Dispatcher) failed(ep *endpoint, proven bool) {
-	ep.bad++
-	ep.proven = proven
-	ep.probeOK = false
+// failed counts a failed call or probe. One that found nobody there is enough to make an endpoint suspect:
+// a sender with little traffic may see no second before the endpoint returns. Errors take a streak, since
+// an endpoint that answers some calls well still serves.
+func (d *Dispatcher) failed(ep *endpoint, proven bool, weight int) {
+	ep.bad += weight
+	ep.proven, ep.probeOK = proven, false
 	if ep.bad >= failStreak {
-		d.doubtful(ep)
+		d.doubtful(ep, d.now)
 	}
 }
 
 // doubtful stops feeding an endpoint: its messages are held and single spaced trials find out.
 // Guards against crashes, silence, hangs and floods of errors alike. It could hurt at an endpoint whose
 // answers are merely rare and slow: any ok lifts it at once.
-func (d *Dispatcher) doubtful(ep *endpoint) {
+func (d *Dispatcher) doubtful(ep *endpoint, since Time) {
 	if ep.suspect {
 		return
 	}
-	ep.suspect, ep.downAt = true, ep.heard
-	if ep.heard == 0 {
-		ep.downAt = d.now
-	}
+	ep.suspect, ep.downAt = true, since
 	ep.trialGap = d.silence(ep.dest)
 	ep.trialAt = d.now + Time(d.random()*float64(ep.trialGap))
 }
@@ -806,12 +756,12 @@
 	}
 	if fresh {
 		p.cutAt = d.now
-		ok := max(p.ok.rate(d.now), 0.5)
-		if p.rate == 0 || p.rate > ok {
-			p.rate = ok
+		want := ep.dest.demand.rate(d.now)
+		if p.rate == 0 {
+			p.rate = max(p.ok.rate(d.now), want)
 		}
-		p.rate = max(p.rate*rateCut, 0.5)
-		p.tokens = min(p.tokens, 1)
+		p.rate = max(p.rate*rateCut, want*leastRate)
+		p.tokens = 0
 	}
 }
 
@@ -832,7 +782,7 @@
 	if e.Result == OK {
 		ep.probeOK = true
 	} else {
-		d.failed(ep, false)
+		d.failed(ep, false, failStreak)
 	}
 }
 
@@ -856,7 +806,7 @@
 		return
 	}
 	if old := ep.calls[0]; d.now-old.sent > limit && d.now-ep.heard > limit {
-		d.doubtful(ep)
+		d.doubtful(ep, max(old.sent, ep.heard))
 	}
 	other := d.healthy(ep.dest)
 	for _, c := range ep.calls {
@@ -877,12 +827,7 @@
 
 // healthy tells whether a destination has an endpoint that is not suspect.
 func (d *Dispatcher) healthy(t *dest) bool {
-	for _, ep := range t.eps {
-		if ep.health == Ready && !ep.suspect {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(t.eps, func(ep *endpoint) bool { return ep.health == Ready && !ep.suspect })
 }
 
 // recall stops waiting for a call whose messages can go again; force also gives up the others.
@@ -945,8 +890,7 @@
 		if !d.paced(ep) {
 			continue
 		}
-		ep.rankCache = d.rank(ep)
-		if best == nil || ep.rankCache < best.rankCache {
+		if best == nil || d.rank(ep) < d.rank(best) {
 			best = ep
 		}
 	}
@@ -954,12 +898,7 @@
 }
 
 func trying(ep *endpoint) bool {
-	for _, c := range ep.calls {
-		if c.trial {
-			return true
-		}
-	}
-	return ep.probing
+	return ep.probing || slices.ContainsFunc(ep.calls, func(c *call) bool { return c.trial })
 }
 
 // rank is the load of an endpoint in calls; a handshake or a crossing counts as one more.
@@ -979,15 +918,18 @@
 // paced tells whether the release rate and the ramp leave room for one more call.
 func (d *Dispatcher) paced(ep *endpoint) bool {
 	p := ep.pace
+	if p.rate > 0 {
+		want := ep.dest.demand.rate(d.now)
+		if p.rate += want * rateRise * (d.now - p.at).seconds(); p.rate > 2*want {
+			p.rate = 0 // not felt any more
+		}
+	}
 	rate := p.rate
 	if p.bound > 0 && (rate == 0 || rate > p.bound) {
 		rate = p.bound
-		if p.rate > 0 {
-			p.rate = rate
-		}
 	}
 	if rate > 0 {
-		p.tokens = min(p.tokens+rate*float64(d.now-p.at)/float64(Second), max(1, rate*rateBurst))
+		p.tokens = min(p.tokens+rate*(d.now-p.at).seconds(), max(1, rate*rateBurst))
 	} else {
 		p.tokens = 1
 	}
@@ -1008,10 +950,12 @@
 	}
 	n := 0
 	for _, o := range ep.dest.eps {
-		n += b2i(o.health == Ready)
+		if o.health == Ready {
+			n++
+		}
 	}
-	rate := max(ep.dest.demand.rate(d.now), 1) / float64(max(n, 1)) * (d.set.ColdFrom + (1-d.set.ColdFrom)*gone) * rampMargin
-	ep.push = min(ep.push+rate*float64(d.now-ep.pushAt)/float64(Second), 1)
+	rate := ep.dest.demand.rate(d.now) / float64(max(n, 1)) * (d.set.ColdFrom + (1-d.set.ColdFrom)*gone) * rampMargin
+	ep.push = min(ep.push+rate*(d.now-ep.pushAt).seconds(), 1)
 	ep.pushAt = d.now
 	return ep.push >= 1
 }
@@ -1019,10 +963,10 @@
 // ---- the endpoint list ----
 
 // dest returns a destination, making it when it is first heard of.
-func (d *Dispatcher) dest(no, kind int) *dest {
+func (d *Dispatcher) dest(no int) *dest {
 	t := d.byNo[no]
 	if t == nil {
-		t = &dest{no: no, kind: kind, batch: 1, starting: true, lanes: make([]lane, 2*len(d.set.Classes))}
+		t = &dest{batch: 1, starting: true, lanes: make([][]*message, 2*len(d.set.Classes))}
 		t.pace = d.newPace()
 		t.demand = meter{tau: demandTau, at: d.now, t0: d.now}
 		t.lat = float64(firstLat)
@@ -1053,13 +997,7 @@
 		d.entry(&e.Entries[i])
 	}
 	for _, t := range d.dests {
-		kept := t.eps[:0]
-		for _, ep := range t.eps {
-			if ep.health != Gone || len(ep.calls) > 0 {
-				kept = append(kept, ep)
-			}
-		}
-		t.eps = kept
+		t.eps = slices.DeleteFunc(t.eps, func(ep *endpoint) bool { return ep.health == Gone && len(ep.calls) == 0 })
 		if t.starting && t.ends == 0 {
 			t.wmax = max(1, d.set.Slots/len(d.dests))
 		}
@@ -1067,8 +1005,7 @@
 }
 
 func (d *Dispatcher) entry(n *Entry) {
-	t := d.dest(n.Dest, n.Kind)
-	t.kind = n.Kind
+	t := d.dest(n.Dest)
 	apart := false
 	if n.Kind < len(d.set.Kinds) {
 		t.batch, apart = d.set.Kinds[n.Kind].Batch, d.set.Kinds[n.Kind].RoutesApart
@@ -1081,7 +1018,7 @@
 		}
 		d.byID[n.Endpoint] = ep
 	}
-	if !containsEp(t.eps, ep) {
+	if !slices.Contains(t.eps, ep) {
 		t.eps = append(t.eps, ep)
 	}
 	ep.zone, ep.health = n.Zone, n.Health
@@ -1094,19 +1031,3 @@
 		ep.pace.bound = bound
 	}
 }
-
-func containsEp(list []*endpoint, ep *endpoint) bool {
-	for _, o := range list {
-		if o == ep {
-			return true
-		}
-	}
-	return false
-}
-
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
