--- a/control/control.go
+++ b/control/control.go
@@ -388,7 +388,10 @@
 			ahead := Time(float64(t.held) / max(t.pace.ok.rate(d.now), 0.2) * float64(Second))
 			for i := range t.lanes {
 				l := t.lanes[i]
-				for _, m := range l[max(0, len(l)-1):] {
+				if len(l) == 0 {
+					continue
+				}
+				for _, m := range [2]*message{l[len(l)-1], l[0]} {
 					if !d.refusable(m) {
 						continue
 					}
@@ -520,13 +523,17 @@
 		if len(t.lanes[i]) == 0 {
 			continue
 		}
-		m := t.lanes[i][0]
-		if trial && !harmless(m, ep) || !d.gate(m, ep) {
-			continue
-		}
-		now := d.worth(m, soon)
-		if v := now - d.worth(m, soon+wait) + now/100; v > top {
-			best, top = m, v
+		// The oldest, and the oldest still in time: late worth may have nothing more to lose.
+		l := t.lanes[i]
+		fresh, _ := slices.BinarySearchFunc(l, soon, func(m *message, at Time) int { return cmp.Compare(m.born+m.class.Aim, at) })
+		for _, m := range [2]*message{l[0], l[min(fresh, len(l)-1)]} {
+			if trial && !harmless(m, ep) || !d.gate(m, ep) {
+				continue
+			}
+			now := d.worth(m, soon)
+			if v := now - d.worth(m, soon+wait) + now/100; v > top {
+				best, top = m, v
+			}
 		}
 	}
 	return best
@@ -1019,6 +1026,11 @@
 		d.byID[n.Endpoint] = ep
 	}
 	if !slices.Contains(t.eps, ep) {
+		// One that joins a destination which is all down or cold shares its fate: the held messages must
+		// not be dumped on it.
+		if len(t.eps) > 0 && !slices.ContainsFunc(t.eps, well) {
+			d.chill(ep)
+		}
 		t.eps = append(t.eps, ep)
 	}
 	ep.zone, ep.health = n.Zone, n.Health
@@ -1031,3 +1043,5 @@
 		ep.pace.bound = bound
 	}
 }
+
+func well(ep *endpoint) bool { return ep.health == Ready && !ep.suspect && ep.coldAt == 0 }
