--- a/control/control.go
+++ b/control/control.go
@@ -33,106 +33,19 @@
 	demandTau   = 10 * Second       // memory of the demand that a ramp is sized by
 	rateBurst   = 0.5               // seconds of the release rate that may go at once
 	roughSlack  = 1.5               // a rough listed rate may be this much too low
-	rampMargin  = 1.2               // a ramp's rate over own demand x warmth; all senders alike stay under tip-multiple
+	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, under tip-multiple
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
+	overMargin  = 1.1               // a tenant is over its share when past it by this factor
+	leastAhead  = 500 * Millisecond // bounds on how far ahead the wait for a turn is reckoned; the upper one
+	mostAhead   = 8 * Second        // keeps a stalled hold comparable with a busy one
+	leastFlow   = 0.2               // calls a second reckoned for a destination that answers nothing
+	worthTie    = 0.01              // of its worth counts for a message that loses nothing by waiting
+	rateForget  = 2                 // a release rate past so many times the demand is not felt and forgotten
+	stuckAfter  = 2                 // silences after which a call overtaken by others is called off
 	openReserve = 16                // one part in so many of max-open is kept free for better messages
 	wakeTicks   = 4                 // ticks between looks at the clock while anything is held or out
 )
 
-// message is one message from arrival to its end and its last outcome.
-type message struct {
-	id                MessageID
-	class             *Class
-	dest              *dest
-	lane              int
-	key               *keyTurn
-	born, deadline    Time // when it was first handed in, when it is given up
-	arrived           uint64
-	over, held, ended bool
-	tries             int
-	out               *call
-	doubt             bool // an attempt may have run ...
-	doubtAt           Time // ... the first such was sent then ...
-	doubtZone         int  // ... to this zone
-}
-
-// call is one call out, holding a slot: a message, or several of one round.
-type call struct {
-	ep           *endpoint
-	sent         Time
-	msgs         []*message
-	left         int
-	trial, asked bool // a trial of a suspect; called off by us
-}
-
-// keyTurn orders the messages that share a key.
-type keyTurn struct {
-	key   uint64
-	queue []*message
-	rest  Time
-}
-
-// endpoint is a place to send to, with its own health.
-type endpoint struct {
-	id                      Endpoint
-	dest                    *dest
-	zone                    int
-	health                  Health
-	pace                    *pace
-	calls                   []*call // out, oldest first
-	conns, maxOut           int     // connections thought open; cap learned from connect failures, 0 none
-	used, heard, okSent     Time    // last use; last answer; send time of the newest call answered ok
-	bad                     int     // failed calls in a row
-	suspect, proven         bool    // not fed; its last failure proved that calls do not run there
-	probing, probeOK        bool
-	downAt, trialAt, coldAt Time // while suspect: since when, next trial; start of its ramp, 0 none
-	trialGap, pushAt        Time
-	push                    float64 // calls that the ramp permits now
-}
-
-// pace is what bounds the rate to a destination, or to one route where routes are apart.
-type pace struct {
-	wait, at, cutAt, fullSince Time // wait is told, or our own backoff
-	rate, bound, tokens        float64
-	streak                     int
-	ok                         meter
-}
-
-// dest is a destination: its hold, turn counter, window and what was learned.
-type dest struct {
-	eps            []*endpoint
-	pace           *pace
-	batch          int
-	weight, acc    float64
-	lanes          [][]*message // by class and over-share, oldest first
-	held           int
-	w, wmax        int
-	starting       bool
-	ends, badEnds  int
-	lat, dev, base float64 // latency, its deviation, its long view
-	demand         meter
-	blocked        uint64 // round in which nothing more can go
-}
-
-// meter is a rate with exponential decay.
-type meter struct {
-	v           float64
-	at, tau, t0 Time
-}
-
-func (m *meter) add(now Time, n float64) {
-	m.v = m.v*math.Exp(-float64(now-m.at)/float64(m.tau)) + n
-	m.at = now
-}
-
-// rate is per second; the start is corrected for the short history.
-func (m *meter) rate(now Time) float64 {
-	span := 1 - math.Exp(-float64(now-m.t0+Second/2)/float64(m.tau))
-	return m.v * math.Exp(-float64(now-m.at)/float64(m.tau)) / m.tau.seconds() / span
-}
-
-func (t Time) seconds() float64 { return float64(t) / float64(Second) }
-
 // Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
 type Dispatcher struct {
 	set          Settings
@@ -167,7 +80,8 @@
 		}
 	}
 	d := &Dispatcher{
-		set: s, rng: seed*2862933555777941757 + 3037000493, msgs: map[MessageID]*message{}, keys: map[uint64]*keyTurn{},
+		set: s, rng: seed*2862933555777941757 + 3037000493, msgs: map[MessageID]*message{},
+		keys: map[uint64]*keyTurn{},
 		byNo: map[int]*dest{}, byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)),
 	}
 	for _, t := range s.Tenants {
@@ -217,21 +131,11 @@
 		if m := d.msgs[MessageID(e.Mark-1)]; e.Mark > 0 && m != nil && !m.ended {
 			d.finish(m)
 		}
-	case Probed:
-		d.probed(e)
 	case List:
 		d.list(e)
 	}
 }
 
-// random returns a number from 0 to 1, from the seed alone.
-func (d *Dispatcher) random() float64 {
-	d.rng ^= d.rng << 13
-	d.rng ^= d.rng >> 7
-	d.rng ^= d.rng << 17
-	return float64(d.rng>>11) / (1 << 53)
-}
-
 // ---- arrival, hold, end ----
 
 func (d *Dispatcher) arrive(e *Event) {
@@ -276,7 +180,7 @@
 	}
 	d.tenants[t].add(d.now, 1)
 	part := max(1/float64(d.set.Instances), d.all.rate(d.now)/d.quota)
-	return d.tenants[t].rate(d.now) > d.set.Tenants[t].Quota*part*1.1
+	return d.tenants[t].rate(d.now) > d.set.Tenants[t].Quota*part*overMargin
 }
 
 // turn puts the message whose turn it is into its hold. One that waits for its turn is in no hold.
@@ -307,24 +211,7 @@
 		}
 		t.acc = least
 	}
-	l := t.lanes[m.lane]
-	at := len(l)
-	for at > 0 && l[at-1].arrived > m.arrived {
-		at--
-	}
-	t.lanes[m.lane] = slices.Insert(l, at, m)
-	m.held = true
-	t.held++
-}
-
-func (d *Dispatcher) unhold(m *message) {
-	if m.held {
-		l := m.dest.lanes[m.lane]
-		i, _ := slices.BinarySearchFunc(l, m.arrived, func(o *message, n uint64) int { return cmp.Compare(o.arrived, n) })
-		m.dest.lanes[m.lane] = slices.Delete(l, i, i+1)
-		m.dest.held--
-		m.held = false
-	}
+	t.put(m)
 }
 
 // finish gives a final answer: handed back where that is provably harmless, else failed.
@@ -348,7 +235,7 @@
 	if !m.ended {
 		m.ended = true
 		d.open--
-		d.unhold(m)
+		m.dest.drop(m)
 	}
 	if m.out != nil {
 		return
@@ -385,7 +272,7 @@
 		var worst *message
 		least := math.Inf(1)
 		for _, t := range d.dests {
-			ahead := Time(float64(t.held) / max(t.pace.ok.rate(d.now), 0.2) * float64(Second))
+			ahead := d.ahead(t)
 			for i := range t.lanes {
 				l := t.lanes[i]
 				if len(l) == 0 {
@@ -395,7 +282,7 @@
 					if !d.refusable(m) {
 						continue
 					}
-					if v := d.worth(m, d.now+min(ahead, 8*Second)); v < least {
+					if v := d.worth(m, d.now+ahead); v < least {
 						worst, least = m, v
 					}
 				}
@@ -440,10 +327,6 @@
 	}
 	m := d.head(t, ep, trial)
 	if m == nil {
-		if trial && d.set.Probes && !ep.probing && t.held > 0 {
-			ep.probing, ep.trialAt = true, d.now+ep.trialGap
-			d.out = append(d.out, Action{Kind: Probe, Endpoint: ep.id})
-		}
 		return false
 	}
 	c := &call{ep: ep, sent: d.now, trial: trial}
@@ -463,7 +346,8 @@
 	d.busy++
 	t.w++
 	ep.calls = append(ep.calls, c)
-	if need := (len(ep.calls) + d.streams() - 1) / d.streams(); ep.conns < need || d.now-ep.used > d.set.ConnIdle {
+	need := (len(ep.calls) + d.streams() - 1) / d.streams()
+	if ep.conns < need || d.now-ep.used > d.set.ConnIdle {
 		ep.conns = need
 	}
 	ep.used = d.now
@@ -478,14 +362,14 @@
 
 // launch sends one message as part of call c.
 func (d *Dispatcher) launch(m *message, c *call) {
-	d.unhold(m)
+	m.dest.drop(m)
 	m.out = c
 	m.tries++
 	c.msgs = append(c.msgs, m)
 	c.left++
 	var limit Time
 	if !d.set.MayCancel && m.class.Effect != SingleShot {
-		limit = 3 * d.silence(m.dest)
+		limit = stuckAfter * d.silence(m.dest)
 	}
 	d.out = append(d.out, Action{Kind: Send, Message: m.id, Endpoint: c.ep.id, After: limit})
 }
@@ -514,8 +398,7 @@
 	var best *message
 	top := -1.0
 	soon := d.now + Time(t.lat)
-	wait := Time(float64(t.held) / max(t.pace.ok.rate(d.now), 0.2) * float64(Second))
-	wait = min(max(wait, 500*Millisecond), 8*Second)
+	wait := d.ahead(t)
 	for i := range t.lanes {
 		for len(t.lanes[i]) > 0 && d.spent(t.lanes[i][0]) {
 			d.finish(t.lanes[i][0])
@@ -525,13 +408,13 @@
 		}
 		// The oldest, and the oldest still in time: late worth may have nothing more to lose.
 		l := t.lanes[i]
-		fresh, _ := slices.BinarySearchFunc(l, soon, func(m *message, at Time) int { return cmp.Compare(m.born+m.class.Aim, at) })
+		fresh, _ := slices.BinarySearchFunc(l, soon, byAim)
 		for _, m := range [2]*message{l[0], l[min(fresh, len(l)-1)]} {
 			if trial && !harmless(m, ep) || !d.gate(m, ep) {
 				continue
 			}
 			now := d.worth(m, soon)
-			if v := now - d.worth(m, soon+wait) + now/100; v > top {
+			if v := now - d.worth(m, soon+wait) + now*worthTie; v > top {
 				best, top = m, v
 			}
 		}
@@ -539,9 +422,18 @@
 	return best
 }
 
-// harmless tells whether a trial may risk the message: a doubtful unsafe one could only fail.
+func byAim(m *message, at Time) int { return cmp.Compare(m.born+m.class.Aim, at) }
+
+// ahead reckons how long the hold takes to be worked off.
+func (d *Dispatcher) ahead(t *dest) Time {
+	wait := Time(float64(t.held) / max(t.pace.ok.rate(d.now), leastFlow) * float64(Second))
+	return min(max(wait, leastAhead), mostAhead)
+}
+
+// harmless tells whether a trial may risk the message: a doubtful unsafe one could only fail, so it goes
+// when the last failure proved that calls do not run, or when trials have become rare.
 func harmless(m *message, ep *endpoint) bool {
-	return m.class.Effect != SingleShot || ep.proven || ep.probeOK
+	return m.class.Effect != SingleShot || ep.proven || ep.trialGap >= trialMost
 }
 
 // spent tells that no attempt can ever be made again.
@@ -564,10 +456,6 @@
 	return min(t.wmax, most)
 }
 
-func (t *dest) troubled() bool {
-	return slices.ContainsFunc(t.eps, func(ep *endpoint) bool { return ep.suspect })
-}
-
 // revise is the window's completion test; w still counts the call that ended.
 func (d *Dispatcher) revise(t *dest, r Result) {
 	if r == Cancelled || r == Moot {
@@ -708,7 +596,7 @@
 		if d.now-ep.downAt > d.set.OverloadFor/2 {
 			d.chill(ep)
 		}
-		ep.suspect, ep.probeOK, ep.proven = false, false, false
+		ep.suspect, ep.proven = false, false
 	}
 	ep.heard, ep.bad = d.now, 0
 }
@@ -729,7 +617,7 @@
 // an endpoint that answers some calls well still serves.
 func (d *Dispatcher) failed(ep *endpoint, proven bool, weight int) {
 	ep.bad += weight
-	ep.proven, ep.probeOK = proven, false
+	ep.proven = proven
 	if ep.bad >= failStreak {
 		d.doubtful(ep, d.now)
 	}
@@ -779,20 +667,6 @@
 	}
 }
 
-func (d *Dispatcher) probed(e *Event) {
-	ep := d.byID[e.Endpoint]
-	if ep == nil || !ep.probing {
-		return
-	}
-	ep.probing = false
-	d.reported(ep, e.Report)
-	if e.Result == OK {
-		ep.probeOK = true
-	} else {
-		d.failed(ep, false, failStreak)
-	}
-}
-
 // ---- health ----
 
 // watch judges calls still out by their age and looks after those that are stuck.
@@ -815,15 +689,15 @@
 	if old := ep.calls[0]; d.now-old.sent > limit && d.now-ep.heard > limit {
 		d.doubtful(ep, max(old.sent, ep.heard))
 	}
-	other := d.healthy(ep.dest)
+	other := ep.dest.healthy()
 	for _, c := range ep.calls {
 		age := d.now - c.sent
 		if age <= limit {
 			break
 		}
-		patience := 2 * limit
+		patience := stuckAfter * limit
 		if c.trial {
-			patience = max(patience, 2*ep.trialGap)
+			patience = max(patience, stuckAfter*ep.trialGap)
 		}
 		stuck := ep.okSent > c.sent || ep.suspect && (other || c.trial)
 		if age > patience && stuck {
@@ -832,11 +706,6 @@
 	}
 }
 
-// healthy tells whether a destination has an endpoint that is not suspect.
-func (d *Dispatcher) healthy(t *dest) bool {
-	return slices.ContainsFunc(t.eps, func(ep *endpoint) bool { return ep.health == Ready && !ep.suspect })
-}
-
 // recall stops waiting for a call whose messages can go again; force also gives up the others.
 func (d *Dispatcher) recall(c *call, force bool) bool {
 	if c.asked || !d.set.MayCancel {
@@ -871,7 +740,7 @@
 						return
 					}
 				}
-				if c := ep.calls[0]; d.now-c.sent > 2*d.silence(t) && (old == nil || c.sent < old.sent) {
+				if c := ep.calls[0]; d.now-c.sent > stuckAfter*d.silence(t) && (old == nil || c.sent < old.sent) {
 					old = c
 				}
 			}
@@ -889,7 +758,7 @@
 			continue
 		}
 		if ep.suspect {
-			if d.now >= ep.trialAt && !trying(ep) {
+			if d.now >= ep.trialAt && !ep.trying() {
 				return ep, true
 			}
 			continue
@@ -904,10 +773,6 @@
 	return best, false
 }
 
-func trying(ep *endpoint) bool {
-	return ep.probing || slices.ContainsFunc(ep.calls, func(c *call) bool { return c.trial })
-}
-
 // rank is the load of an endpoint in calls; a handshake or a crossing counts as one more.
 func (d *Dispatcher) rank(ep *endpoint) float64 {
 	v := float64(len(ep.calls))
@@ -927,7 +792,7 @@
 	p := ep.pace
 	if p.rate > 0 {
 		want := ep.dest.demand.rate(d.now)
-		if p.rate += want * rateRise * (d.now - p.at).seconds(); p.rate > 2*want {
+		if p.rate += want * rateRise * (d.now - p.at).seconds(); p.rate > rateForget*want {
 			p.rate = 0 // not felt any more
 		}
 	}
@@ -961,7 +826,8 @@
 			n++
 		}
 	}
-	rate := ep.dest.demand.rate(d.now) / float64(max(n, 1)) * (d.set.ColdFrom + (1-d.set.ColdFrom)*gone) * rampMargin
+	warmth := d.set.ColdFrom + (1-d.set.ColdFrom)*gone
+	rate := ep.dest.demand.rate(d.now) / float64(max(n, 1)) * warmth * rampMargin
 	ep.push = min(ep.push+rate*(d.now-ep.pushAt).seconds(), 1)
 	ep.pushAt = d.now
 	return ep.push >= 1
@@ -1043,5 +909,3 @@
 		ep.pace.bound = bound
 	}
 }
-
-func well(ep *endpoint) bool { return ep.health == Ready && !ep.suspect && ep.coldAt == 0 }
