--- a/control/control.go
+++ b/control/control.go
@@ -27,8 +27,8 @@
 	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
 	backoffBase = 100 * Millisecond // first pause after a refusal that told no wait; doubles up to trialMost
 	rateCut     = 0.85              // release rate after a refusal, of the rate before
-	rateRise    = 0.03              // its growth with each ok: about one refusal in six calls where it binds
-	leastRate   = 0.5               // and its floor, as a part of the demand
+	rateRise    = 0.1               // its growth in a second, as a part of the demand
+	leastRate   = 0.3               // and its floor, as a part of the demand
 	rateTau     = 2 * Second        // memory of the measured rates
 	demandTau   = 10 * Second       // memory of the demand that a ramp is sized by
 	rateBurst   = 0.5               // seconds of the release rate that may go at once
@@ -588,7 +588,6 @@
 	ep.okSent = max(ep.okSent, sent)
 	p := ep.pace
 	p.ok.add(d.now, 1)
-	p.rate *= 1 + rateRise
 	if p.streak > 0 && p.fullSince > 0 && d.now-p.fullSince > d.set.OverloadFor {
 		d.ramp(ep.dest, ep)
 	}
@@ -611,9 +610,7 @@
 	}
 }
 
-func (d *Dispatcher) chill(ep *endpoint) {
-	ep.coldAt, ep.push, ep.pushAt, ep.pace.rate = d.now, 0, d.now, 0
-}
+func (d *Dispatcher) chill(ep *endpoint) { ep.coldAt, ep.push, ep.pushAt = d.now, 0, d.now }
 
 // failed counts a failed call or probe. One that found nobody there is enough to make an endpoint suspect:
 // a sender with little traffic may see no second before the endpoint returns. Errors take a streak, since
@@ -795,7 +792,7 @@
 	p := ep.pace
 	if p.rate > 0 {
 		want := ep.dest.demand.rate(d.now)
-		if p.rate > rateForget*want {
+		if p.rate += want * rateRise * (d.now - p.at).seconds(); p.rate > rateForget*want {
 			p.rate = 0 // not felt any more
 		}
 	}
