--- a/control/control.go
+++ b/control/control.go
@@ -649,7 +649,7 @@
 		pause := min(backoffBase<<min(p.streak-1, 6), trialMost)
 		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
 	}
-	if fresh && wait == 0 { // a told wait is the remedy itself
+	if fresh {
 		p.cutAt = d.now
 		want := ep.dest.demand.rate(d.now)
 		if p.rate == 0 {
