--- a/control/control.go
+++ b/control/control.go
@@ -26,7 +26,7 @@
 	trialGrow   = 1.5               // each failed trial spaces the next one so much wider ...
 	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
 	backoffBase = 100 * Millisecond // first pause after a refusal that told no wait; doubles up to trialMost
-	rateCut     = 0.7               // release rate after a refusal, of the rate before
+	rateCut     = 0.85              // release rate after a refusal, of the rate before
 	rateRise    = 0.1               // its growth in a second, as a part of the demand
 	leastRate   = 0.3               // and its floor, as a part of the demand
 	rateTau     = 2 * Second        // memory of the measured rates
