--- a/control/control.go
+++ b/control/control.go
@@ -740,7 +740,7 @@
 						return
 					}
 				}
-				if c := ep.calls[0]; d.now-c.sent > stuckAfter*d.silence(t) && (old == nil || c.sent < old.sent) {
+				if c := ep.calls[0]; d.now-c.sent > d.silence(t) && (old == nil || c.sent < old.sent) {
 					old = c
 				}
 			}
