An ok from a call sent before the silence lifts suspicion without a ramp

Outages as long as twice overload-for still ramp, so hung calls answered at the return do not open the door.

--- a/control/control.go
+++ b/control/control.go
@@ -113,8 +113,7 @@
 		d.wake = now + after
 		d.out = append(d.out, Action{Kind: Timer, After: after})
 	}
-	actions, d.out = d.out, nil
-	return actions
+	return d.out
 }
 
 func (d *Dispatcher) handle(e *Event) {
@@ -589,11 +588,12 @@
 	p := ep.pace
 	p.ok.add(d.now, 1)
 	if p.streak > 0 && p.fullSince > 0 && d.now-p.fullSince > d.set.OverloadFor {
-		d.ramp(ep.dest, ep)
+		d.ramp(p, ep.dest.eps)
 	}
 	p.streak, p.fullSince = 0, 0
 	if ep.suspect {
-		if d.now-ep.downAt > d.set.OverloadFor/2 {
+		// The answer to a call sent before the silence tells of slowness, unless it was long as an outage.
+		if gone := d.now - ep.downAt; gone > 2*d.set.OverloadFor || gone > d.set.OverloadFor/2 && sent > ep.downAt {
 			d.chill(ep)
 		}
 		ep.suspect, ep.proven = false, false
@@ -602,9 +602,9 @@
 }
 
 // ramp makes every endpoint that shares a refusing limit return slowly: it may have been shut.
-func (d *Dispatcher) ramp(t *dest, ep *endpoint) {
-	for _, o := range t.eps {
-		if o.pace == ep.pace {
+func (d *Dispatcher) ramp(p *pace, eps []*endpoint) {
+	for _, o := range eps {
+		if o.pace == p {
 			d.chill(o)
 		}
 	}
