--- a/control/control.go
+++ b/control/control.go
@@ -18,7 +18,7 @@
 	cleanShare  = 0.1               // an interval with more than this share of bad ends is not clean
 	latGain     = 1.0 / 8           // weight of a new latency sample
 	baseGain    = 1.0 / 64          // the same for the long view, against which slow is told
-	devs        = 9                 // deviations past the mean before silence is suspicious
+	devs        = 6                 // deviations past the mean before silence is suspicious
 	firstLat    = 400 * Millisecond // latency believed before the first answer
 	leastSilent = 300 * Millisecond // silence shorter than this is never suspicious: short pauses are common
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
