Stop feeding a quiet endpoint while slots are scarce

It also covers pauses and slow answers; it could hurt an endpoint with few and very uneven calls, only while half of the slots are out.

--- a/control/control.go
+++ b/control/control.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -19,6 +18,7 @@
 	latGain     = 1.0 / 8           // weight of a new latency sample
 	baseGain    = 1.0 / 64          // the same for the long view, against which slow is told
 	devs        = 6                 // deviations past the mean before silence is suspicious
+	quietDevs   = 2                 // deviations past the mean before feeding stops while slots are scarce
 	firstLat    = 400 * Millisecond // latency believed before the first answer
 	leastSilent = 300 * Millisecond // silence shorter than this is never suspicious: short pauses are common
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
@@ -66,19 +66,15 @@
 
 // New returns a Dispatcher, or an error that names the setting at fault.
 func New(s Settings, seed uint64) (*Dispatcher, error) {
-	checks := []struct {
-		ok   bool
-		name string
-	}{
-		{s.Slots >= 1, "extra.slots"}, {s.MaxOpen >= 1, "limits.max-open"}, {s.MaxTries >= 1, "limits.most-tries"},
-		{s.Instances >= 1, "instances"}, {s.Tick >= 1, "tick"}, {len(s.Classes) > 0, "classes.count"},
-		{s.ColdFrom <= 1, "rules.cold-from"},
-	}
-	for _, c := range checks {
-		if !c.ok {
-			return nil, fmt.Errorf("setting %s: %w", c.name, errRange)
+	name := []string{"extra.slots", "limits.max-open", "limits.most-tries", "instances", "tick", "classes.count"}
+	for i, v := range []int{s.Slots, s.MaxOpen, s.MaxTries, s.Instances, int(s.Tick), len(s.Classes)} {
+		if v < 1 {
+			return nil, fmt.Errorf("setting %s: %d is out of range", name[i], v)
 		}
 	}
+	if s.ColdFrom > 1 {
+		return nil, fmt.Errorf("setting rules.cold-from: %g is out of range", s.ColdFrom)
+	}
 	d := &Dispatcher{
 		set: s, rng: seed*2862933555777941757 + 3037000493, msgs: map[MessageID]*message{},
 		keys: map[uint64]*keyTurn{},
@@ -90,8 +86,6 @@
 	return d, nil
 }
 
-var errRange = errors.New("out of range")
-
 // Step handles the events of one round, dispatches once and returns actions with its own appended.
 func (d *Dispatcher) Step(now Time, events []Event, actions []Action) []Action {
 	if d.round == 0 {
@@ -526,11 +520,7 @@
 		return
 	}
 	t := c.ep.dest
-	weight := t.weight
-	if weight <= 0 {
-		weight = 1
-	}
-	t.acc += (d.now - c.sent).seconds() / weight
+	t.acc += (d.now - c.sent).seconds() / t.share()
 	d.revise(t, e.Result)
 	d.busy--
 	t.w--
@@ -763,7 +753,7 @@
 			}
 			continue
 		}
-		if !d.paced(ep) {
+		if d.hesitant(ep) || !d.paced(ep) {
 			continue
 		}
 		if best == nil || d.rank(ep) < d.rank(best) {
@@ -773,6 +763,13 @@
 	return best, false
 }
 
+// hesitant tells that an endpoint is quiet for longer than most of its calls while slots are getting scarce:
+// what may be the start of a hang must not take the slots of others before it is told for sure.
+func (d *Dispatcher) hesitant(ep *endpoint) bool {
+	quiet := Time(ep.dest.lat + quietDevs*ep.dest.dev)
+	return len(ep.calls) > 1 && 2*d.busy >= d.set.Slots && d.now-max(ep.heard, ep.calls[0].sent) > quiet
+}
+
 // rank is the load of an endpoint in calls; a handshake or a crossing counts as one more.
 func (d *Dispatcher) rank(ep *endpoint) float64 {
 	v := float64(len(ep.calls))
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -583,3 +583,32 @@
 		t.Error("two plays differ")
 	}
 }
+
+// At the start of a hang, before it is told for sure, the hung endpoint must not take the slots of others.
+func TestQuietEndpointIsNotFedWhileSlotsAreScarce(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0), entry(2, 0, 0))
+	for i := range 20 {
+		r.at(s/10, r.msg(free, 1))
+		r.at(s/10, done(MessageID(i+1), 0, OK))
+	}
+	r.want(r.at(0, r.msg(free, 1), r.msg(free, 1), r.msg(free, 2), r.msg(free, 2)), 21, 22, 23, 24)
+	r.want(r.at(250*Millisecond, r.msg(free, 1))) // quiet for 250 ms, its calls take 100
+	if r.d.byID[ep(1, 0)].suspect {
+		t.Fatal("suspect already: the case is not what it was made for")
+	}
+}
+
+// Slow is not dead: the late answer to a call sent before the silence lifts suspicion without a ramp.
+func TestLateAnswerLiftsSuspicionWithoutRamp(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0))
+	r.want(r.at(0, r.msg(single, 1)), 1)
+	r.wait(2 * s)
+	e := r.d.byID[ep(1, 0)]
+	if !e.suspect {
+		t.Fatal("not suspect after 2 s")
+	}
+	r.at(0, done(1, 0, OK))
+	if e.suspect || e.coldAt != 0 {
+		t.Errorf("suspect %v, cold since %v", e.suspect, e.coldAt)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -153,3 +153,11 @@
 
 // ill tells that an endpoint is suspect or cold.
 func ill(ep *endpoint) bool { return ep.suspect || ep.coldAt != 0 }
+
+// share is the listed weight, else 1.
+func (t *dest) share() float64 {
+	if t.weight <= 0 {
+		return 1
+	}
+	return t.weight
+}
