--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,7 @@
 	set          Settings
 	rng          uint64
 	now, wake    Time
+	stalled      Time // when this dispatcher last woke late itself
 	out          []Action
 	msgs         map[MessageID]*message
 	keys         map[uint64]*keyTurn
@@ -94,6 +95,9 @@
 			d.tenants[i] = d.all
 		}
 	}
+	if d.busy > 0 && now > d.wake+wakeTicks*d.set.Tick {
+		d.stalled = now // woken late: the silence was ours
+	}
 	d.now, d.out = now, actions
 	d.round++
 	for i := range events {
@@ -676,8 +680,8 @@
 	if len(ep.calls) == 0 {
 		return
 	}
-	if old := ep.calls[0]; d.now-old.sent > limit && d.now-ep.heard > limit {
-		d.doubtful(ep, max(old.sent, ep.heard))
+	if since := max(ep.calls[0].sent, ep.heard, d.stalled); d.now-since > limit {
+		d.doubtful(ep, since)
 	}
 	other := ep.dest.healthy()
 	for _, c := range ep.calls {
@@ -767,7 +771,7 @@
 // what may be the start of a hang must not take the slots of others before it is told for sure.
 func (d *Dispatcher) hesitant(ep *endpoint) bool {
 	quiet := Time(ep.dest.lat + quietDevs*ep.dest.dev)
-	return len(ep.calls) > 1 && 2*d.busy >= d.set.Slots && d.now-max(ep.heard, ep.calls[0].sent) > quiet
+	return len(ep.calls) > 1 && 2*d.busy >= d.set.Slots && d.now-max(ep.heard, ep.calls[0].sent, d.stalled) > quiet
 }
 
 // rank is the load of an endpoint in calls; a handshake or a crossing counts as one more.
