--- a/control/control.go
+++ b/control/control.go
@@ -51,7 +51,6 @@
 	set          Settings
 	rng          uint64
 	now, wake    Time
-	stalled      Time // when this dispatcher last woke late itself
 	out          []Action
 	msgs         map[MessageID]*message
 	keys         map[uint64]*keyTurn
@@ -95,9 +94,6 @@
 			d.tenants[i] = d.all
 		}
 	}
-	if d.busy > 0 && now > d.wake+wakeTicks*d.set.Tick {
-		d.stalled = now // woken late: the silence was ours
-	}
 	d.now, d.out = now, actions
 	d.round++
 	for i := range events {
@@ -680,8 +676,8 @@
 	if len(ep.calls) == 0 {
 		return
 	}
-	if since := max(ep.calls[0].sent, ep.heard, d.stalled); d.now-since > limit {
-		d.doubtful(ep, since)
+	if old := ep.calls[0]; d.now-old.sent > limit && d.now-ep.heard > limit {
+		d.doubtful(ep, max(old.sent, ep.heard))
 	}
 	other := ep.dest.healthy()
 	for _, c := range ep.calls {
@@ -771,7 +767,7 @@
 // what may be the start of a hang must not take the slots of others before it is told for sure.
 func (d *Dispatcher) hesitant(ep *endpoint) bool {
 	quiet := Time(ep.dest.lat + quietDevs*ep.dest.dev)
-	return len(ep.calls) > 1 && 2*d.busy >= d.set.Slots && d.now-max(ep.heard, ep.calls[0].sent, d.stalled) > quiet
+	return len(ep.calls) > 1 && 2*d.busy >= d.set.Slots && d.now-max(ep.heard, ep.calls[0].sent) > quiet
 }
 
 // rank is the load of an endpoint in calls; a handshake or a crossing counts as one more.
