--- a/control/control.go
+++ b/control/control.go
@@ -22,7 +22,7 @@
 	firstLat    = 400 * Millisecond // latency believed before the first answer
 	leastSilent = 300 * Millisecond // silence shorter than this is never suspicious: short pauses are common
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
-	slowFactor  = 3                 // latency over its long view by this much: a slow destination
+	slowFactor  = 3.0               // latency over its long view by this much: a slow destination
 	trialGrow   = 1.5               // each failed trial spaces the next one so much wider ...
 	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
 	backoffBase = 100 * Millisecond // first pause after a refusal that told no wait; doubles up to trialMost
@@ -415,8 +415,6 @@
 	return best
 }
 
-func byAim(m *message, at Time) int { return cmp.Compare(m.born+m.class.Aim, at) }
-
 // ahead reckons how long the hold takes to be worked off.
 func (d *Dispatcher) ahead(t *dest) Time {
 	wait := Time(float64(t.held) / max(t.pace.ok.rate(d.now), leastFlow) * float64(Second))
@@ -440,13 +438,18 @@
 // ceiling is the most calls out to one destination: under three quarters of the slots.
 func (d *Dispatcher) ceiling(t *dest) int { return max(1, (3*d.set.Slots+3)/4-1) }
 
-// room is the window in force: half of the slots or less for a failing or slow destination.
+// room is the window in force: failing and slow destinations share half of the slots among them all.
 func (d *Dispatcher) room(t *dest) int {
 	most := d.ceiling(t)
-	if t.lat > slowFactor*t.base || t.troubled() {
-		most = min(most, max(1, d.set.Slots/2))
+	if t.sick() {
+		most = min(most, d.set.Slots/2)
+		for _, o := range d.dests {
+			if o != t && o.sick() {
+				most -= o.w
+			}
+		}
 	}
-	return min(t.wmax, most)
+	return max(1, min(t.wmax, most))
 }
 
 // revise is the window's completion test; w still counts the call that ended.
@@ -847,10 +850,6 @@
 	return t
 }
 
-func (d *Dispatcher) newPace() *pace {
-	return &pace{at: d.now, tokens: 1, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
-}
-
 // list takes a new endpoint list; what a whole list leaves out is gone.
 func (d *Dispatcher) list(e *Event) {
 	if e.ListKind == ListFailed {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -612,3 +612,21 @@
 		t.Errorf("suspect %v, cold since %v", e.suspect, e.coldAt)
 	}
 }
+
+// Several sick destinations together must leave half of the slots to the others.
+func TestSickDestinationsShareHalfOfTheSlots(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0), entry(2, 0, 0), entry(3, 0, 0))
+	for n := 1; n <= 3; n++ {
+		d := r.d.byNo[n]
+		d.wmax, d.base, d.lat, d.w = 5, 100, 100, 0
+	}
+	one, two := r.d.byNo[1], r.d.byNo[2]
+	one.lat, two.lat, two.w = 900, 900, 3
+	if got := r.d.room(one); got != 1 {
+		t.Errorf("room %d beside a sick destination with three calls out, want 1", got)
+	}
+	two.lat = 100
+	if got := r.d.room(one); got != 4 {
+		t.Errorf("room %d as the only sick one, want half of the slots", got)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -161,3 +161,12 @@
 	}
 	return t.weight
 }
+
+// sick tells that the destination is failing or slow.
+func (t *dest) sick() bool { return t.lat > slowFactor*t.base || t.troubled() }
+
+func (d *Dispatcher) newPace() *pace {
+	return &pace{at: d.now, tokens: 1, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
+}
+
+func byAim(m *message, at Time) int { return cmp.Compare(m.born+m.class.Aim, at) }
