--- a/control/control.go
+++ b/control/control.go
@@ -5,7 +5,6 @@
 // -> dispatch -> gate -> launch -> outcome -> back to its hold, or finish.
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
