--- a/control/control.go
+++ b/control/control.go
@@ -717,14 +717,14 @@
 	return true
 }
 
-// reclaim takes back the slot of the oldest call at a suspect endpoint, or one overtaken by others, when
-// none is free: a hang must not starve the others. Calls that can go again come first.
+// reclaim takes back the slot of the oldest call at a suspect endpoint when none is free: a hang must
+// not starve the others. Calls that can go again come first.
 func (d *Dispatcher) reclaim() {
 	for _, force := range []bool{false, true} {
 		var old *call
 		for _, t := range d.dests {
 			for _, ep := range t.eps {
-				if len(ep.calls) == 0 || !ep.suspect && ep.okSent <= ep.calls[0].sent {
+				if !ep.suspect || len(ep.calls) == 0 {
 					continue
 				}
 				for _, c := range ep.calls {
