--- a/control/control.go
+++ b/control/control.go
@@ -32,7 +32,7 @@
 	demandTau   = 10 * Second       // memory of the demand that a ramp is sized by
 	rateBurst   = 0.5               // seconds of the release rate that may go at once
 	roughSlack  = 1.5               // a rough listed rate may be this much too low
-	rampPart    = 0.6               // of tip-multiple: a ramp's rate over own demand x warmth; all senders ramp alike
+	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, under tip-multiple
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
 	overMargin  = 1.1               // a tenant is over its share when past it by this factor
 	leastAhead  = 500 * Millisecond // bounds on how far ahead the wait for a turn is reckoned; the upper one
@@ -826,7 +826,7 @@
 		}
 	}
 	warmth := d.set.ColdFrom + (1-d.set.ColdFrom)*gone
-	rate := ep.dest.demand.rate(d.now) / float64(max(n, 1)) * warmth * d.set.TipMultiple * rampPart
+	rate := ep.dest.demand.rate(d.now) / float64(max(n, 1)) * warmth * rampMargin
 	ep.push = min(ep.push+rate*(d.now-ep.pushAt).seconds(), 1)
 	ep.pushAt = d.now
 	return ep.push >= 1
