--- a/control/control.go
+++ b/control/control.go
@@ -29,6 +29,7 @@
 	rateRise    = 0.1               // its growth in a second, as a part of the demand
 	leastRate   = 0.3               // and its floor, as a part of the demand
 	rateTau     = 2 * Second        // memory of the measured rates
+	meterStart  = Second / 2        // history reckoned for a rate that has just begun to be measured
 	demandTau   = 10 * Second       // memory of the demand that a ramp is sized by
 	rateBurst   = 0.5               // seconds of the release rate that may go at once
 	roughSlack  = 1.5               // a rough listed rate may be this much too low
@@ -437,6 +438,8 @@
 // ceiling is the most calls out to one destination: under three quarters of the slots.
 func (d *Dispatcher) ceiling(t *dest) int { return max(1, (3*d.set.Slots+3)/4-1) }
 
+func (t *dest) sick() bool { return t.lat > slowFactor*t.base || t.troubled() }
+
 // room is the window in force: failing and slow destinations share half of the slots among them all.
 func (d *Dispatcher) room(t *dest) int {
 	most := d.ceiling(t)
--- a/control/state.go
+++ b/control/state.go
@@ -95,7 +95,7 @@
 
 // rate is per second; the start is corrected for the short history.
 func (m *meter) rate(now Time) float64 {
-	span := 1 - math.Exp(-float64(now-m.t0+Second/2)/float64(m.tau))
+	span := 1 - math.Exp(-float64(now-m.t0+meterStart)/float64(m.tau))
 	return m.v * math.Exp(-float64(now-m.at)/float64(m.tau)) / m.tau.seconds() / span
 }
 
@@ -162,9 +162,6 @@
 	return t.weight
 }
 
-// sick tells that the destination is failing or slow.
-func (t *dest) sick() bool { return t.lat > slowFactor*t.base || t.troubled() }
-
 func (d *Dispatcher) newPace() *pace {
 	return &pace{at: d.now, tokens: 1, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
 }
