--- a/control/control.go
+++ b/control/control.go
@@ -5,7 +5,6 @@
 // -> dispatch -> gate -> launch -> outcome -> back to its hold, or finish.
 
 import (
-	"fmt"
 	"math"
 	"slices"
 )
@@ -16,34 +15,42 @@
 	cleanShare  = 0.1               // an interval with more than this share of bad ends is not clean
 	latGain     = 1.0 / 8           // weight of a new latency sample
 	baseGain    = 1.0 / 64          // the same for the long view, against which slow is told
-	devs        = 6                 // deviations past the mean before silence is suspicious
-	quietDevs   = 2                 // deviations past the mean before feeding stops while slots are scarce
+	priorCount  = 2                 // samples that the latency of the kind counts for at a destination without own ones
+	devs        = 6                 // deviations past the mean before silence is suspicious; twice that without samples
 	firstLat    = 400 * Millisecond // latency believed before the first answer
 	leastSilent = 300 * Millisecond // silence shorter than this is never suspicious: short pauses are common
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
+	sureAfter   = 2                 // calls in a row that met nobody or silence before an outage is taken as sure
 	slowFactor  = 3.0               // latency over its long view by this much: a slow destination
 	trialGrow   = 1.5               // each failed trial spaces the next one so much wider ...
 	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
-	backoffBase = 100 * Millisecond // first pause after a refusal that told no wait; doubles up to trialMost
-	rateCut     = 0.85              // release rate after a refusal, of the rate before
-	rateRise    = 0.1               // its growth in a second, as a part of the demand
-	leastRate   = 0.3               // and its floor, as a part of the demand
+	doubtFade   = 2                 // warm-ups after which an endpoint unseen since its failure is tried like any other
+	backoffBase = 100 * Millisecond // least first pause after a refusal that told no wait; doubles ...
+	backoffMost = 4 * Second        // ... up to this
+	allowCut    = 0.8               // share of the own demand allowed after a refusal, of the share before
+	allowOK     = 0.05              // its growth by an ok ...
+	allowRise   = 0.03              // ... and in a second
+	leastAllow  = 0.2               // its floor
+	allowForget = 2                 // past so many times the demand the limit is not felt any more
 	rateTau     = 2 * Second        // memory of the measured rates
 	meterStart  = Second / 2        // history reckoned for a rate that has just begun to be measured
-	demandTau   = 10 * Second       // memory of the demand that a ramp is sized by
+	demandTau   = 10 * Second       // memory of the demand that ramps and shares are sized by
 	rateBurst   = 0.5               // seconds of the release rate that may go at once
 	roughSlack  = 1.5               // a rough listed rate may be this much too low
 	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, under tip-multiple
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
+	scarceFor   = 30 * Second       // connections count as scarce so long after the last sign of it
+	keepShare   = 0.8               // idle connections are used up to this part of the age at which one failed
+	keepGrow    = 1.02              // growth of that age by an ok
 	overMargin  = 1.1               // a tenant is over its share when past it by this factor
 	leastAhead  = 500 * Millisecond // bounds on how far ahead the wait for a turn is reckoned; the upper one
 	mostAhead   = 8 * Second        // keeps a stalled hold comparable with a busy one
 	leastFlow   = 0.2               // calls a second reckoned for a destination that answers nothing
 	worthTie    = 0.01              // of its worth counts for a message that loses nothing by waiting
-	rateForget  = 2                 // a release rate past so many times the demand is not felt and forgotten
-	stuckAfter  = 2                 // silences after which a call overtaken by others is called off
+	stuckAfter  = 2                 // silences after which a call is given up
 	openReserve = 16                // one part in so many of max-open is kept free for better messages
 	wakeTicks   = 4                 // ticks between looks at the clock while anything is held or out
+	tidyEvery   = 10 * Second       // state without use is looked for so often
 )
 
 // Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
@@ -51,12 +58,16 @@
 	set          Settings
 	rng          uint64
 	now, wake    Time
+	tidied       Time
+	aim          Time // the least aim of a class
 	out          []Action
 	msgs         map[MessageID]*message
 	keys         map[uint64]*keyTurn
 	byNo         map[int]*dest
 	byID         map[Endpoint]*endpoint
-	dests        []*dest
+	resting      []*keyTurn
+	dests, live  []*dest // all; those with messages held or out
+	kinds        []*kind
 	busy, open   int // slots taken; messages owed an answer
 	count, round uint64
 	tenants      []meter
@@ -66,23 +77,19 @@
 
 // New returns a Dispatcher, or an error that names the setting at fault.
 func New(s Settings, seed uint64) (*Dispatcher, error) {
-	name := []string{"extra.slots", "limits.max-open", "limits.most-tries", "instances", "tick", "classes.count"}
-	for i, v := range []int{s.Slots, s.MaxOpen, s.MaxTries, s.Instances, int(s.Tick), len(s.Classes)} {
-		if v < 1 {
-			return nil, fmt.Errorf("setting %s: %d is out of range", name[i], v)
-		}
-	}
-	if s.ColdFrom > 1 {
-		return nil, fmt.Errorf("setting rules.cold-from: %g is out of range", s.ColdFrom)
+	if err := s.check(); err != nil {
+		return nil, err
 	}
 	d := &Dispatcher{
-		set: s, rng: seed*2862933555777941757 + 3037000493, msgs: map[MessageID]*message{},
-		keys: map[uint64]*keyTurn{},
-		byNo: map[int]*dest{}, byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)),
+		set: s, rng: seed*2862933555777941757 + 3037000493, msgs: map[MessageID]*message{}, keys: map[uint64]*keyTurn{},
+		byNo: map[int]*dest{}, byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)), aim: s.Classes[0].Aim,
 	}
 	for _, t := range s.Tenants {
 		d.quota += t.Quota
 	}
+	for _, c := range s.Classes {
+		d.aim = min(d.aim, c.Aim)
+	}
 	return d, nil
 }
 
@@ -99,9 +106,16 @@
 	for i := range events {
 		d.handle(&events[i])
 	}
-	d.watch()
+	d.live = slices.DeleteFunc(d.live, (*dest).rest)
+	for _, t := range d.live {
+		d.watch(t)
+	}
 	d.dispatch()
 	d.shed()
+	if now-d.tidied >= tidyEvery {
+		d.tidied = now
+		d.tidy()
+	}
 	if (d.busy > 0 || d.open > 0) && d.wake <= now {
 		after := wakeTicks * d.set.Tick
 		d.wake = now + after
@@ -132,6 +146,9 @@
 // ---- arrival, hold, end ----
 
 func (d *Dispatcher) arrive(e *Event) {
+	if d.msgs[e.Message] != nil {
+		return
+	}
 	if e.Class < 0 || e.Class >= len(d.set.Classes) {
 		d.out = append(d.out, Action{Kind: Refuse, Message: e.Message})
 		return
@@ -184,6 +201,8 @@
 	if len(k.queue) == 0 {
 		if k.rest <= d.now {
 			delete(d.keys, k.key)
+		} else { // the rest binds those to come
+			d.resting = append(d.resting, k)
 		}
 		return
 	}
@@ -197,7 +216,7 @@
 	t := m.dest
 	if t.held == 0 {
 		least, found := 0.0, false
-		for _, o := range d.dests {
+		for _, o := range d.live {
 			if o != t && (o.held > 0 || o.w > 0) && (!found || o.acc < least) {
 				least, found = o.acc, true
 			}
@@ -205,6 +224,10 @@
 		t.acc = least
 	}
 	t.put(m)
+	if !t.live {
+		t.live = true
+		d.live = append(d.live, t)
+	}
 }
 
 // finish gives a final answer: handed back where that is provably harmless, else failed.
@@ -264,7 +287,7 @@
 	for d.open > d.set.MaxOpen-d.set.MaxOpen/openReserve-1 {
 		var worst *message
 		least := math.Inf(1)
-		for _, t := range d.dests {
+		for _, t := range d.live {
 			ahead := d.ahead(t)
 			for i := range t.lanes {
 				l := t.lanes[i]
@@ -294,7 +317,7 @@
 func (d *Dispatcher) dispatch() {
 	for {
 		var best *dest
-		for _, t := range d.dests {
+		for _, t := range d.live {
 			if t.held > 0 && t.blocked != d.round && (best == nil || t.acc < best.acc) {
 				best = t
 			}
@@ -303,7 +326,6 @@
 			return
 		}
 		if d.busy >= d.set.Slots {
-			d.reclaim()
 			return
 		}
 		if !d.release(best) {
@@ -315,14 +337,14 @@
 // release sends the head of a destination's hold, with others in the same call where its kind allows.
 func (d *Dispatcher) release(t *dest) bool {
 	ep, trial := d.choose(t)
-	if ep == nil || (t.w >= d.room(t) && !(trial && t.w < d.ceiling(t))) {
+	if ep == nil || t.w >= d.room(t) {
 		return false
 	}
 	m := d.head(t, ep, trial)
 	if m == nil {
 		return false
 	}
-	c := &call{ep: ep, sent: d.now, trial: trial}
+	c := &call{ep: ep, sent: d.now, trial: trial, idle: d.freshen(ep)}
 	for n := t.batch; m != nil && n > 0; n-- {
 		d.launch(m, c)
 		if trial {
@@ -340,16 +362,15 @@
 	t.w++
 	ep.calls = append(ep.calls, c)
 	need := (len(ep.calls) + d.streams() - 1) / d.streams()
-	if ep.conns < need || d.now-ep.used > d.set.ConnIdle {
+	if ep.conns < need || d.now-ep.used > d.keep(t) {
 		ep.conns = need
 	}
 	ep.used = d.now
 	ep.pace.tokens--
 	ep.push -= 1 + batchExtra*float64(len(c.msgs)-1)
 	if c.trial {
-		ep.trialAt = d.now + ep.trialGap
+		ep.trialAt = d.now + ep.trialGap + Time(d.random()*float64(ep.trialGap)/4)
 		ep.trialGap = min(Time(float64(ep.trialGap)*trialGrow), trialMost)
-		ep.trialAt += Time(d.random() * float64(ep.trialGap) / 4)
 	}
 }
 
@@ -390,7 +411,8 @@
 func (d *Dispatcher) head(t *dest, ep *endpoint, trial bool) *message {
 	var best *message
 	top := -1.0
-	soon := d.now + Time(t.lat)
+	mean, _ := d.latency(t)
+	soon := d.now + Time(mean)
 	wait := d.ahead(t)
 	for i := range t.lanes {
 		for len(t.lanes[i]) > 0 && d.spent(t.lanes[i][0]) {
@@ -438,20 +460,24 @@
 // ceiling is the most calls out to one destination: under three quarters of the slots.
 func (d *Dispatcher) ceiling(t *dest) int { return max(1, (3*d.set.Slots+3)/4-1) }
 
-func (t *dest) sick() bool { return t.lat > slowFactor*t.base || t.troubled() }
+// sick tells that a destination fails or is slow.
+func (t *dest) sick() bool {
+	return t.lat.mean > slowFactor*t.base || slices.ContainsFunc(t.eps, func(ep *endpoint) bool { return ep.suspect })
+}
 
-// room is the window in force: failing and slow destinations share half of the slots among them all.
+// room is the window in force: failing and slow destinations share half of the slots among them all, so
+// that two of them cannot hold two slots of two.
 func (d *Dispatcher) room(t *dest) int {
-	most := d.ceiling(t)
-	if t.sick() {
-		most = min(most, d.set.Slots/2)
-		for _, o := range d.dests {
-			if o != t && o.sick() {
-				most -= o.w
-			}
+	if !t.sick() {
+		return max(1, min(t.wmax, d.ceiling(t)))
+	}
+	most := max(1, d.set.Slots/2)
+	for _, o := range d.live {
+		if o != t && o.w > 0 && o.sick() {
+			most -= o.w
 		}
 	}
-	return max(1, min(t.wmax, most))
+	return min(t.wmax, most, d.ceiling(t))
 }
 
 // revise is the window's completion test; w still counts the call that ended.
@@ -525,13 +551,14 @@
 		return
 	}
 	t := c.ep.dest
-	t.acc += (d.now - c.sent).seconds() / t.share()
+	t.acc += (d.now - c.sent).seconds() / share(t)
 	d.revise(t, e.Result)
 	d.busy--
 	t.w--
 	i := slices.Index(c.ep.calls, c)
 	c.ep.calls = slices.Delete(c.ep.calls, i, i+1)
 	c.ep.used = d.now
+	d.leave(c.ep)
 }
 
 func (d *Dispatcher) learn(c *call, e *Event) {
@@ -540,82 +567,106 @@
 	switch e.Result {
 	case OK:
 		d.sample(t, float64(e.Lag))
-		d.succeeded(ep, c.sent)
+		d.succeeded(ep, c)
 	case Full:
 		ep.heard = d.now
 		d.refused(ep, c, e.Wait)
 	case ConnectFailed:
-		// Connect failures amid successes tell of a connection cap, not of an outage.
-		if ep.bad == 0 && len(ep.calls) > 1 && d.now-ep.heard < d.silence(t) {
-			ep.maxOut = max(1, len(ep.calls)-1)
-			return
-		}
-		d.failed(ep, true, failStreak)
+		ep.noConn = true
+		d.failed(ep, c, true)
 	case TimedOut, Reset:
-		d.failed(ep, false, failStreak)
+		d.failed(ep, c, false)
 	case Errored:
 		ep.heard = d.now
-		d.failed(ep, false, 1)
+		if ep.errs++; ep.errs >= failStreak {
+			d.failed(ep, c, false)
+		}
+	}
+}
+
+// latency is what a destination's calls take and how much that varies: its own samples, or those of its kind.
+func (d *Dispatcher) latency(t *dest) (mean, dev float64) {
+	switch {
+	case t.lat.n > 0:
+		return t.lat.mean, t.lat.dev
+	case t.kind.lat.n > 0:
+		return t.kind.lat.mean, t.kind.lat.dev
 	}
+	return float64(firstLat), float64(firstLat) / 2
 }
 
-// sample learns the latency of a destination.
+// sample learns the latency of a destination and of its kind.
 func (d *Dispatcher) sample(t *dest, lag float64) {
-	if t.base == 0 {
-		t.lat, t.dev, t.base = lag, lag/2, lag
-		return
+	if t.lat.n == 0 {
+		t.lat.mean, t.lat.dev = d.latency(t)
+		t.base = lag
 	}
-	t.dev += latGain * (math.Abs(lag-t.lat) - t.dev)
-	t.lat += latGain * (lag - t.lat)
+	t.lat.add(lag, max(latGain, 1/(t.lat.n+priorCount+1)))
 	t.base += baseGain * (lag - t.base)
+	t.kind.lat.add(lag, max(baseGain, 1/(t.kind.lat.n+1)))
 }
 
 // silence is how long a destination may say nothing with a call out before that is suspicious.
 func (d *Dispatcher) silence(t *dest) Time {
-	if t.base == 0 {
-		return devs * firstLat / 2
-	}
-	return max(leastSilent, Time(t.lat+devs*t.dev))
+	mean, dev := d.latency(t)
+	return max(leastSilent, Time(mean+devs*dev*(1+1/(1+t.lat.n))))
 }
 
-func (d *Dispatcher) succeeded(ep *endpoint, sent Time) {
-	ep.okSent = max(ep.okSent, sent)
+func (d *Dispatcher) succeeded(ep *endpoint, c *call) {
+	ep.okSent = max(ep.okSent, c.sent)
 	p := ep.pace
 	p.ok.add(d.now, 1)
+	if p.allow > 0 {
+		p.allow += allowOK
+	}
+	if k := ep.dest.kind; 2*c.idle > k.keep {
+		k.keep = min(Time(keepGrow*float64(k.keep)), d.set.ConnIdle*2)
+	}
 	if p.streak > 0 && p.fullSince > 0 && d.now-p.fullSince > d.set.OverloadFor {
-		d.ramp(p, ep.dest.eps)
+		for _, o := range ep.dest.eps { // all that share the refusing limit: it may have been shut
+			if o.pace == p {
+				d.chill(o, d.now)
+			}
+		}
 	}
 	p.streak, p.fullSince = 0, 0
 	if ep.suspect {
-		// The answer to a call sent before the silence tells of slowness, unless it was long as an outage.
-		if gone := d.now - ep.downAt; gone > 2*d.set.OverloadFor || gone > d.set.OverloadFor/2 && sent > ep.downAt {
-			d.chill(ep)
-		}
-		ep.suspect, ep.proven = false, false
+		d.returned(ep, c)
 	}
-	ep.heard, ep.bad = d.now, 0
+	ep.suspect, ep.proven, ep.noConn, ep.dropped = false, false, false, 0
+	ep.heard, ep.bad, ep.errs = d.now, 0, 0
 }
 
-// ramp makes every endpoint that shares a refusing limit return slowly: it may have been shut.
-func (d *Dispatcher) ramp(p *pace, eps []*endpoint) {
-	for _, o := range eps {
-		if o.pace == p {
-			d.chill(o)
-		}
+// returned judges what a suspect's first answer tells. After an outage it came back at some moment since the
+// last failure, in the mean half way: what many senders so reckon adds up to its real warmth. A single failure
+// that the next call does not bear out was a lost answer, a reaped connection or a want of connections.
+func (d *Dispatcher) returned(ep *endpoint, c *call) {
+	gone := d.now - ep.downAt
+	switch {
+	case c.sent <= ep.downAt && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
+	case ep.bad >= sureAfter || gone > d.set.OverloadFor:
+		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
+	case ep.noConn:
+		d.scarce(ep.dest)
+	case ep.dropped > 0:
+		ep.dest.kind.keep = min(ep.dest.kind.keep, ep.dropped)
 	}
 }
 
-func (d *Dispatcher) chill(ep *endpoint) { ep.coldAt, ep.push, ep.pushAt = d.now, 0, d.now }
+// chill starts an endpoint's ramp, as if it had come back at the moment given.
+func (d *Dispatcher) chill(ep *endpoint, back Time) {
+	ep.coldAt, ep.push, ep.pushAt = back, d.random(), d.now
+}
 
-// failed counts a failed call or probe. One that found nobody there is enough to make an endpoint suspect:
-// a sender with little traffic may see no second before the endpoint returns. Errors take a streak, since
-// an endpoint that answers some calls well still serves.
-func (d *Dispatcher) failed(ep *endpoint, proven bool, weight int) {
-	ep.bad += weight
-	ep.proven = proven
-	if ep.bad >= failStreak {
-		d.doubtful(ep, d.now)
+// failed counts calls that met nobody or silence; only one sent after the last failure was known is new evidence.
+// One is enough to stop feeding, since a sender with little traffic may see no second before the endpoint
+// returns: single trials find out, the first one at once.
+func (d *Dispatcher) failed(ep *endpoint, c *call, proven bool) {
+	if c.sent >= ep.failedAt {
+		ep.bad++
+		ep.failedAt, ep.proven, ep.dropped = d.now, proven, c.idle
 	}
+	d.doubtful(ep, d.now)
 }
 
 // doubtful stops feeding an endpoint: its messages are held and single spaced trials find out.
@@ -625,34 +676,36 @@
 	if ep.suspect {
 		return
 	}
-	ep.suspect, ep.downAt = true, since
+	ep.suspect, ep.downAt, ep.pushAt, ep.push = true, since, d.now, d.random()
 	ep.trialGap = d.silence(ep.dest)
-	ep.trialAt = d.now + Time(d.random()*float64(ep.trialGap))
+	ep.trialAt = d.now
+	if ep.proven {
+		ep.trialAt += Time(d.random() * float64(ep.trialGap))
+	}
 }
 
-// refused learns from a refusal: waits are kept, the release rate falls below what was getting through.
+// refused learns from a refusal: waits are kept, a smaller share of the own demand is let go.
 func (d *Dispatcher) refused(ep *endpoint, c *call, wait Time) {
 	p := ep.pace
 	if p.fullSince == 0 {
 		p.fullSince = d.now
 	}
-	fresh := c.sent >= p.cutAt
-	if fresh {
-		p.streak++
+	if c.sent < p.cutAt {
+		return
 	}
-	if wait == 0 && fresh {
-		pause := min(backoffBase<<min(p.streak-1, 6), trialMost)
+	p.cutAt = d.now
+	p.streak++
+	want := ep.dest.demand.rate(d.now)
+	if wait == 0 {
+		base := min(max(backoffBase, Time(float64(Second)/2/want)), d.aim/2)
+		pause := min(base<<min(p.streak-1, 6), backoffMost)
 		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
 	}
-	if fresh {
-		p.cutAt = d.now
-		want := ep.dest.demand.rate(d.now)
-		if p.rate == 0 {
-			p.rate = max(p.ok.rate(d.now), want)
-		}
-		p.rate = max(p.rate*rateCut, want*leastRate)
-		p.tokens = 0
+	if p.allow == 0 {
+		p.allow = max(1, p.ok.rate(d.now)/want)
 	}
+	p.allow = max(p.allow*allowCut, leastAllow)
+	p.tokens = max(0, min(p.tokens, 1-want*d.aim.seconds()))
 }
 
 // reported takes the bounds that answers tell.
@@ -662,53 +715,82 @@
 	}
 }
 
-// ---- health ----
+// ---- connections ----
 
-// watch judges calls still out by their age and looks after those that are stuck.
-func (d *Dispatcher) watch() {
-	for _, t := range d.dests {
-		if t.w == 0 {
-			continue
-		}
-		limit := d.silence(t)
-		for _, ep := range t.eps {
-			d.inspect(ep, limit)
-		}
+// keep is the age up to which an idle connection is used.
+func (d *Dispatcher) keep(t *dest) Time {
+	return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep)))
+}
+
+// scarce notes that a destination's endpoints take few connections: for a while all of its kind are closed after use.
+func (d *Dispatcher) scarce(t *dest) { t.kind.scarce = d.now + scarceFor }
+
+// leave closes the connections to an endpoint of a kind where they are scarce, once no call is out and none is held.
+func (d *Dispatcher) leave(ep *endpoint) {
+	if len(ep.calls) == 0 && d.now < ep.dest.kind.scarce && ep.dest.held == 0 {
+		d.out = append(d.out, Action{Kind: Close, Endpoint: ep.id})
+		ep.conns = 0
 	}
 }
 
-func (d *Dispatcher) inspect(ep *endpoint, limit Time) {
-	if len(ep.calls) == 0 {
-		return
+// freshen closes connections idle for longer than is known to be safe before a call goes out on one, and
+// tells how long the one that is used was idle. Guards against connections that were dropped unseen.
+func (d *Dispatcher) freshen(ep *endpoint) Time {
+	if len(ep.calls) > 0 || ep.conns == 0 {
+		return 0
 	}
-	if old := ep.calls[0]; d.now-old.sent > limit && d.now-ep.heard > limit {
-		d.doubtful(ep, max(old.sent, ep.heard))
+	idle := d.now - ep.used
+	if idle <= d.keep(ep.dest) && ep.dropped == 0 {
+		return idle
 	}
-	other := ep.dest.healthy()
-	for _, c := range ep.calls {
-		age := d.now - c.sent
-		if age <= limit {
-			break
+	if idle < d.set.ConnIdle {
+		d.out = append(d.out, Action{Kind: Close, Endpoint: ep.id})
+	}
+	ep.conns = 0
+	return 0
+}
+
+// ---- health ----
+
+// watch judges calls still out by their age and gives up those that are stuck: overtaken by later ones or at a
+// suspect. Their messages go again where their class allows it; others are given up, and fail, only where
+// messages are held for want of slots. Guards against hangs, lost answers and calls on dead connections.
+func (d *Dispatcher) watch(t *dest) {
+	if t.w == 0 {
+		return
+	}
+	limit := d.silence(t)
+	for _, ep := range t.eps {
+		if len(ep.calls) == 0 {
+			continue
 		}
-		patience := stuckAfter * limit
-		if c.trial {
-			patience = max(patience, stuckAfter*ep.trialGap)
+		if old := ep.calls[0]; d.now-old.sent > limit && d.now-ep.heard > limit {
+			d.failed(ep, old, false)
+			ep.downAt = min(ep.downAt, max(old.sent, ep.heard))
 		}
-		stuck := ep.okSent > c.sent || ep.suspect && (other || c.trial)
-		if age > patience && stuck {
-			d.recall(c, false)
+		for _, c := range ep.calls {
+			age, patience := d.now-c.sent, limit
+			if c.trial {
+				patience *= Time(1 + min(ep.bad, failStreak))
+			}
+			if age > patience && (ep.okSent > c.sent || ep.suspect) {
+				d.recall(c, age > stuckAfter*limit && d.crowded())
+			}
 		}
 	}
 }
 
+// crowded tells that messages wait for want of slots.
+func (d *Dispatcher) crowded() bool { return d.busy >= d.set.Slots && d.open > d.busy }
+
 // recall stops waiting for a call whose messages can go again; force also gives up the others.
-func (d *Dispatcher) recall(c *call, force bool) bool {
+func (d *Dispatcher) recall(c *call, force bool) {
 	if c.asked || !d.set.MayCancel {
-		return false
+		return
 	}
 	for _, m := range c.msgs {
 		if m.out == c && !force && (m.class.Effect == SingleShot || m.tries >= d.set.MaxTries) {
-			return false
+			return
 		}
 	}
 	c.asked = true
@@ -717,39 +799,12 @@
 			d.out = append(d.out, Action{Kind: Cancel, Message: m.id, Attempt: m.tries - 1})
 		}
 	}
-	return true
-}
-
-// reclaim takes back the slot of the oldest call at a suspect endpoint when none is free: a hang must
-// not starve the others. Calls that can go again come first.
-func (d *Dispatcher) reclaim() {
-	for _, force := range []bool{false, true} {
-		var old *call
-		for _, t := range d.dests {
-			for _, ep := range t.eps {
-				if !ep.suspect || len(ep.calls) == 0 {
-					continue
-				}
-				for _, c := range ep.calls {
-					if c.asked {
-						return
-					}
-				}
-				if c := ep.calls[0]; d.now-c.sent > stuckAfter*d.silence(t) && (old == nil || c.sent < old.sent) {
-					old = c
-				}
-			}
-		}
-		if old != nil && d.recall(old, force) {
-			return
-		}
-	}
 }
 
 // choose picks an endpoint: a trial that is due, else the least loaded, warm and near one.
 func (d *Dispatcher) choose(t *dest) (best *endpoint, trial bool) {
 	for _, ep := range t.eps {
-		if ep.health != Ready || d.now < ep.pace.wait || ep.maxOut > 0 && len(ep.calls) >= ep.maxOut {
+		if ep.health != Ready || d.now < ep.pace.wait || !d.paced(ep) {
 			continue
 		}
 		if ep.suspect {
@@ -758,9 +813,6 @@
 			}
 			continue
 		}
-		if d.hesitant(ep) || !d.paced(ep) {
-			continue
-		}
 		if best == nil || d.rank(ep) < d.rank(best) {
 			best = ep
 		}
@@ -768,20 +820,13 @@
 	return best, false
 }
 
-// hesitant tells that an endpoint is quiet for longer than most of its calls while slots are getting scarce:
-// what may be the start of a hang must not take the slots of others before it is told for sure.
-func (d *Dispatcher) hesitant(ep *endpoint) bool {
-	quiet := Time(ep.dest.lat + quietDevs*ep.dest.dev)
-	return len(ep.calls) > 1 && 2*d.busy >= d.set.Slots && d.now-max(ep.heard, ep.calls[0].sent) > quiet
-}
-
 // rank is the load of an endpoint in calls; a handshake or a crossing counts as one more.
 func (d *Dispatcher) rank(ep *endpoint) float64 {
 	v := float64(len(ep.calls))
 	if ep.zone != d.set.Zone {
 		v++
 	}
-	if d.now-ep.used > d.set.ConnIdle || len(ep.calls) >= ep.conns*d.streams() {
+	if d.now-ep.used > d.keep(ep.dest) || len(ep.calls) >= ep.conns*d.streams() {
 		v++
 	}
 	return v
@@ -789,36 +834,43 @@
 
 func (d *Dispatcher) streams() int { return max(1, d.set.StreamsPerConn) }
 
-// paced tells whether the release rate and the ramp leave room for one more call.
+// paced tells whether the allowed share of the demand and the ramp leave room for one more call.
 func (d *Dispatcher) paced(ep *endpoint) bool {
-	p := ep.pace
-	if p.rate > 0 {
-		want := ep.dest.demand.rate(d.now)
-		if p.rate += want * rateRise * (d.now - p.at).seconds(); p.rate > rateForget*want {
-			p.rate = 0 // not felt any more
+	p, t := ep.pace, ep.dest
+	gone := (d.now - p.at).seconds()
+	p.at = d.now
+	rate := p.bound
+	if p.allow > 0 {
+		if p.allow += allowRise * gone; p.allow > allowForget {
+			p.allow = 0
+		} else if r := p.allow * t.demand.rate(d.now); rate == 0 || r < rate {
+			rate = r
 		}
 	}
-	rate := p.rate
-	if p.bound > 0 && (rate == 0 || rate > p.bound) {
-		rate = p.bound
-	}
-	if rate > 0 {
-		p.tokens = min(p.tokens+rate*(d.now-p.at).seconds(), max(1, rate*rateBurst))
-	} else {
+	p.tokens = min(p.tokens+rate*gone, max(1, rate*rateBurst))
+	if rate == 0 {
 		p.tokens = 1
 	}
-	p.at = d.now
 	return p.tokens >= 1 && d.warm(ep)
 }
 
-// warm holds an endpoint back from an outage to its own demand times its warmth.
-// Guards against pushing a cold endpoint over, with other senders doing the same.
+// warm holds a suspect, and one back from an outage, to the own demand times its warmth. Each sender goes by
+// its own part of the demand, so that all together stay within what a cold destination can do however many
+// they are; where each starts within its first call is drawn. Guards against pushing a cold endpoint over, with
+// other senders doing the same. It could hurt a wrongly suspected one, which is used less for the warm-up.
 func (d *Dispatcher) warm(ep *endpoint) bool {
-	if ep.coldAt == 0 {
+	var warmth float64
+	switch {
+	case ep.suspect && ep.bad < sureAfter && ep.errs < failStreak:
+		return true // the trial that makes sure
+	case ep.suspect:
+		warmth = d.warmth((d.now - ep.failedAt) / doubtFade)
+	case ep.coldAt == 0:
 		return true
+	default:
+		warmth = d.warmth(d.now - ep.coldAt)
 	}
-	gone := float64(d.now-ep.coldAt) / float64(max(d.set.WarmUp, 1))
-	if gone >= 1 {
+	if warmth >= 1 {
 		ep.coldAt = 0
 		return true
 	}
@@ -828,30 +880,42 @@
 			n++
 		}
 	}
-	warmth := d.set.ColdFrom + (1-d.set.ColdFrom)*gone
 	rate := ep.dest.demand.rate(d.now) / float64(max(n, 1)) * warmth * rampMargin
 	ep.push = min(ep.push+rate*(d.now-ep.pushAt).seconds(), 1)
 	ep.pushAt = d.now
 	return ep.push >= 1
 }
 
+// warmth is the part of its capacity that a destination has so long after its return.
+func (d *Dispatcher) warmth(since Time) float64 {
+	return d.set.ColdFrom + (1-d.set.ColdFrom)*float64(since)/float64(max(d.set.WarmUp, 1))
+}
+
 // ---- the endpoint list ----
 
 // dest returns a destination, making it when it is first heard of.
 func (d *Dispatcher) dest(no int) *dest {
 	t := d.byNo[no]
 	if t == nil {
-		t = &dest{batch: 1, starting: true, lanes: make([][]*message, 2*len(d.set.Classes))}
+		t = &dest{no: no, batch: 1, starting: true, lanes: make([][]*message, 2*len(d.set.Classes)), kind: d.kind(0)}
 		t.pace = d.newPace()
 		t.demand = meter{tau: demandTau, at: d.now, t0: d.now}
-		t.lat = float64(firstLat)
 		d.byNo[no] = t
 		d.dests = append(d.dests, t)
 		t.wmax = max(1, d.set.Slots/len(d.dests))
 	}
+	t.seen = d.now
 	return t
 }
 
+// kind returns what the destinations of a kind have in common.
+func (d *Dispatcher) kind(n int) *kind {
+	for len(d.kinds) <= n {
+		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle})
+	}
+	return d.kinds[n]
+}
+
 // list takes a new endpoint list; what a whole list leaves out is gone.
 func (d *Dispatcher) list(e *Event) {
 	if e.ListKind == ListFailed {
@@ -868,7 +932,6 @@
 		d.entry(&e.Entries[i])
 	}
 	for _, t := range d.dests {
-		t.eps = slices.DeleteFunc(t.eps, func(ep *endpoint) bool { return ep.health == Gone && len(ep.calls) == 0 })
 		if t.starting && t.ends == 0 {
 			t.wmax = max(1, d.set.Slots/len(d.dests))
 		}
@@ -878,7 +941,8 @@
 func (d *Dispatcher) entry(n *Entry) {
 	t := d.dest(n.Dest)
 	apart := false
-	if n.Kind < len(d.set.Kinds) {
+	if n.Kind >= 0 && n.Kind < len(d.set.Kinds) {
+		t.kind = d.kind(n.Kind)
 		t.batch, apart = d.set.Kinds[n.Kind].Batch, d.set.Kinds[n.Kind].RoutesApart
 	}
 	ep := d.byID[n.Endpoint]
@@ -893,7 +957,7 @@
 		// One that joins a destination which is all down or cold shares its fate: the held messages must
 		// not be dumped on it.
 		if slices.ContainsFunc(t.eps, ill) && !slices.ContainsFunc(t.eps, well) {
-			d.chill(ep)
+			d.chill(ep, d.now)
 		}
 		t.eps = append(t.eps, ep)
 	}
@@ -907,3 +971,45 @@
 		ep.pace.bound = bound
 	}
 }
+
+// tidy forgets what is of no more use: gone endpoints without calls, unlisted destinations and keys at rest.
+// A wait binds until it is over; so do a drain, while calls are out, and a key's rest.
+func (d *Dispatcher) tidy() {
+	for _, t := range d.dests {
+		t.eps = slices.DeleteFunc(t.eps, func(ep *endpoint) bool {
+			old := ep.health == Gone && len(ep.calls) == 0 && ep.pace.wait <= d.now
+			if old {
+				delete(d.byID, ep.id)
+			}
+			return old
+		})
+	}
+	d.dests = slices.DeleteFunc(d.dests, func(t *dest) bool {
+		old := len(t.eps) == 0 && !t.live && t.pace.wait <= d.now && d.now-t.seen > tidyEvery
+		if old {
+			delete(d.byNo, t.no)
+		}
+		return old
+	})
+	d.resting = slices.DeleteFunc(d.resting, func(k *keyTurn) bool {
+		if len(k.queue) > 0 {
+			return true // in use again; it comes back when its queue runs empty
+		}
+		if k.rest <= d.now {
+			delete(d.keys, k.key)
+		}
+		return k.rest <= d.now
+	})
+}
+
+func well(ep *endpoint) bool { return ep.health == Ready && !ep.suspect && ep.coldAt == 0 }
+
+func ill(ep *endpoint) bool { return ep.suspect || ep.coldAt != 0 }
+
+// share is the listed weight of a destination, else 1.
+func share(t *dest) float64 {
+	if t.weight <= 0 {
+		return 1
+	}
+	return t.weight
+}
--- a/control/state.go
+++ b/control/state.go
@@ -32,6 +32,7 @@
 	msgs         []*message
 	left         int
 	trial, asked bool // a trial of a suspect; called off by us
+	idle         Time // how long the connection that it went out on had been idle, 0 if new or in use
 }
 
 // keyTurn orders the messages that share a key.
@@ -49,37 +50,60 @@
 	health                  Health
 	pace                    *pace
 	calls                   []*call // out, oldest first
-	conns, maxOut           int     // connections thought open; cap learned from connect failures, 0 none
+	conns                   int     // connections thought open
 	used, heard, okSent     Time    // last use; last answer; send time of the newest call answered ok
-	bad                     int     // failed calls in a row
-	suspect, proven         bool    // not fed; its last failure proved that calls do not run there
-	downAt, trialAt, coldAt Time    // while suspect: since when, next trial; start of its ramp, 0 none
-	trialGap, pushAt        Time
+	bad, errs               int     // calls in a row that met nobody or silence; answers in a row that were errors
+	suspect, proven, noConn bool    // not fed; its last failure proved that calls do not run; one met nobody
+	dropped                 Time    // idle age of the connection on which the last failed call went out
+	downAt, failedAt        Time    // while suspect: since when; when the last failure was known
+	trialAt, trialGap       Time    // next trial, and how long until the one after
+	coldAt, pushAt          Time    // start of its ramp, 0 none
 	push                    float64 // calls that the ramp permits now
 }
 
+// kind is what the destinations of one kind have in common.
+type kind struct {
+	lat    latency
+	keep   Time // idle age up to which connections are known to hold
+	scarce Time // until then connections are taken to be scarce
+}
+
+// latency is a running mean and deviation.
+type latency struct{ mean, dev, n float64 }
+
+func (l *latency) add(v, gain float64) {
+	l.n++
+	l.dev += gain * (math.Abs(v-l.mean) - l.dev)
+	l.mean += gain * (v - l.mean)
+}
+
 // pace is what bounds the rate to a destination, or to one route where routes are apart.
 type pace struct {
-	wait, at, cutAt, fullSince Time // wait is told, or our own backoff
-	rate, bound, tokens        float64
+	wait, at, cutAt, fullSince Time    // wait is told, or our own backoff
+	allow, bound, tokens       float64 // share of the own demand let go, 0 all; listed or reported rate
 	streak                     int
 	ok                         meter
 }
 
 // dest is a destination: its hold, turn counter, window and what was learned.
 type dest struct {
-	eps            []*endpoint
-	pace           *pace
-	batch          int
-	weight, acc    float64
-	lanes          [][]*message // by class and over-share, oldest first
-	held           int
-	w, wmax        int
-	starting       bool
-	ends, badEnds  int
-	lat, dev, base float64 // latency, its deviation, its long view
-	demand         meter
-	blocked        uint64 // round in which nothing more can go
+	no            int
+	eps           []*endpoint
+	kind          *kind
+	pace          *pace
+	batch         int
+	live          bool // in the list of those with messages held or out
+	seen          Time
+	weight, acc   float64
+	lanes         [][]*message // by class and over-share, oldest first
+	held          int
+	w, wmax       int
+	starting      bool
+	ends, badEnds int
+	lat           latency
+	base          float64 // the long view of its latency
+	demand        meter
+	blocked       uint64 // round in which nothing more can go
 }
 
 // meter is a rate with exponential decay.
@@ -125,14 +149,10 @@
 	m.held = false
 }
 
-// troubled tells whether an endpoint of the destination is suspect.
-func (t *dest) troubled() bool {
-	return slices.ContainsFunc(t.eps, func(ep *endpoint) bool { return ep.suspect })
-}
-
-// healthy tells whether a destination has an endpoint that is not suspect.
-func (t *dest) healthy() bool {
-	return slices.ContainsFunc(t.eps, func(ep *endpoint) bool { return ep.health == Ready && !ep.suspect })
+// rest takes a destination with nothing held or out off the list of live ones.
+func (t *dest) rest() bool {
+	t.live = t.held > 0 || t.w > 0
+	return !t.live
 }
 
 // trying tells whether a trial is out.
@@ -140,9 +160,6 @@
 	return slices.ContainsFunc(ep.calls, func(c *call) bool { return c.trial })
 }
 
-// well tells that an endpoint is listed ready, not suspect and not cold.
-func well(ep *endpoint) bool { return ep.health == Ready && !ep.suspect && ep.coldAt == 0 }
-
 // random returns a number from 0 to 1, from the seed alone.
 func (d *Dispatcher) random() float64 {
 	d.rng ^= d.rng << 13
@@ -151,17 +168,6 @@
 	return float64(d.rng>>11) / (1 << 53)
 }
 
-// ill tells that an endpoint is suspect or cold.
-func ill(ep *endpoint) bool { return ep.suspect || ep.coldAt != 0 }
-
-// share is the listed weight, else 1.
-func (t *dest) share() float64 {
-	if t.weight <= 0 {
-		return 1
-	}
-	return t.weight
-}
-
 func (d *Dispatcher) newPace() *pace {
 	return &pace{at: d.now, tokens: 1, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,7 +39,7 @@
 	acStopAttempt
 	acTimer
 	acAskLoad
-	_
+	acHangUp
 	_
 	acNoteDown
 	acFatal
@@ -360,6 +360,9 @@
 	case control.Probe:
 		r.head(acAskLoad, who)
 		r.endpoint(a.Endpoint)
+	case control.Close:
+		r.head(acHangUp, who)
+		r.endpoint(a.Endpoint)
 	case control.Note:
 		r.text(acNoteDown, who, a.Text)
 	}
