--- a/control/control.go
+++ b/control/control.go
@@ -572,7 +572,8 @@
 		ep.heard = d.now
 		d.refused(ep, c, e.Wait)
 	case ConnectFailed:
-		ep.noConn = true
+		// It may be an outage or that its connections are all taken, idle ones too: those are closed for a while.
+		t.kind.scarce = d.now + scarceFor
 		d.failed(ep, c, true)
 	case TimedOut, Reset:
 		d.failed(ep, c, false)
@@ -633,7 +634,7 @@
 	if ep.suspect {
 		d.returned(ep, c)
 	}
-	ep.suspect, ep.proven, ep.noConn, ep.dropped = false, false, false, 0
+	ep.suspect, ep.proven, ep.dropped = false, false, 0
 	ep.heard, ep.bad, ep.errs = d.now, 0, 0
 }
 
@@ -646,8 +647,6 @@
 	case c.sent <= ep.downAt && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
 	case ep.bad >= sureAfter || gone > d.set.OverloadFor:
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
-	case ep.noConn:
-		d.scarce(ep.dest)
 	case ep.dropped > 0:
 		ep.dest.kind.keep = min(ep.dest.kind.keep, ep.dropped)
 	}
@@ -722,9 +721,6 @@
 	return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep)))
 }
 
-// scarce notes that a destination's endpoints take few connections: for a while all of its kind are closed after use.
-func (d *Dispatcher) scarce(t *dest) { t.kind.scarce = d.now + scarceFor }
-
 // leave closes the connections to an endpoint of a kind where they are scarce, once no call is out and none is held.
 func (d *Dispatcher) leave(ep *endpoint) {
 	if len(ep.calls) == 0 && d.now < ep.dest.kind.scarce && ep.dest.held == 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -44,21 +44,21 @@
 
 // endpoint is a place to send to, with its own health.
 type endpoint struct {
-	id                      Endpoint
-	dest                    *dest
-	zone                    int
-	health                  Health
-	pace                    *pace
-	calls                   []*call // out, oldest first
-	conns                   int     // connections thought open
-	used, heard, okSent     Time    // last use; last answer; send time of the newest call answered ok
-	bad, errs               int     // calls in a row that met nobody or silence; answers in a row that were errors
-	suspect, proven, noConn bool    // not fed; its last failure proved that calls do not run; one met nobody
-	dropped                 Time    // idle age of the connection on which the last failed call went out
-	downAt, failedAt        Time    // while suspect: since when; when the last failure was known
-	trialAt, trialGap       Time    // next trial, and how long until the one after
-	coldAt, pushAt          Time    // start of its ramp, 0 none
-	push                    float64 // calls that the ramp permits now
+	id                  Endpoint
+	dest                *dest
+	zone                int
+	health              Health
+	pace                *pace
+	calls               []*call // out, oldest first
+	conns               int     // connections thought open
+	used, heard, okSent Time    // last use; last answer; send time of the newest call answered ok
+	bad, errs           int     // calls in a row that met nobody or silence; answers in a row that were errors
+	suspect, proven     bool    // not fed; its last failure proved that calls do not run
+	dropped             Time    // idle age of the connection on which the last failed call went out
+	downAt, failedAt    Time    // while suspect: since when; when the last failure was known
+	trialAt, trialGap   Time    // next trial, and how long until the one after
+	coldAt, pushAt      Time    // start of its ramp, 0 none
+	push                float64 // calls that the ramp permits now
 }
 
 // kind is what the destinations of one kind have in common.
