--- a/control/control.go
+++ b/control/control.go
@@ -27,10 +27,10 @@
 	doubtFade   = 2                 // warm-ups after which an endpoint unseen since its failure is tried like any other
 	backoffBase = 100 * Millisecond // least first pause after a refusal that told no wait; doubles ...
 	backoffMost = 4 * Second        // ... up to this
-	allowCut    = 0.8               // share of the own demand allowed after a refusal, of the share before
-	allowOK     = 0.05              // its growth by an ok ...
-	allowRise   = 0.03              // ... and in a second
-	leastAllow  = 0.2               // its floor
+	allowCut    = 0.7               // share of the own demand allowed after a refusal, of the share before
+	allowOK     = 0.1               // its growth by an ok ...
+	allowRise   = 0.01              // ... and in a second
+	leastAllow  = 0.05              // its floor
 	allowForget = 2                 // past so many times the demand the limit is not felt any more
 	rateTau     = 2 * Second        // memory of the measured rates
 	meterStart  = Second / 2        // history reckoned for a rate that has just begun to be measured
@@ -703,8 +703,14 @@
 	if p.allow == 0 {
 		p.allow = max(1, p.ok.rate(d.now)/want)
 	}
-	p.allow = max(p.allow*allowCut, leastAllow)
-	p.tokens = max(0, min(p.tokens, 1-want*d.aim.seconds()))
+	if p.streak < sureAfter {
+		p.allow *= allowCut
+		p.tokens = max(0, min(p.tokens, 1-want*d.aim.seconds()))
+	} else { // refused calls may use up the limit: nobody is served until all senders ask less
+		p.allow *= allowCut * allowCut
+		p.tokens = min(p.tokens, d.random())
+	}
+	p.allow = max(p.allow, leastAllow)
 }
 
 // reported takes the bounds that answers tell.
