--- a/control/control.go
+++ b/control/control.go
@@ -29,7 +29,9 @@
 	backoffMost = 4 * Second        // ... up to this
 	allowCut    = 0.7               // share of the own demand allowed after a refusal, of the share before
 	allowOK     = 0.1               // its growth by an ok ...
-	allowRise   = 0.01              // ... and in a second
+	allowRise   = 0.005             // ... and in a second
+	againGain   = 1.0 / 16          // weight of a new call in how often, over a kind, the call after a refusal went well
+	againGood   = 0.5               // so often or more, and the next is worth trying soon
 	leastAllow  = 0.05              // its floor
 	allowForget = 2                 // past so many times the demand the limit is not felt any more
 	rateTau     = 2 * Second        // memory of the measured rates
@@ -298,7 +300,7 @@
 					if !d.refusable(m) {
 						continue
 					}
-					if v := d.worth(m, d.now+ahead); v < least {
+					if v := d.worth(m, d.now+ahead) * t.chance(); v < least {
 						worst, least = m, v
 					}
 				}
@@ -311,6 +313,14 @@
 	}
 }
 
+// chance is how likely a held message is to be let go: the allowed share, where a limit is felt.
+func (t *dest) chance() float64 {
+	if t.pace.allow > 0 {
+		return min(1, t.pace.allow)
+	}
+	return 1
+}
+
 // ---- ordinary path: turns and windows ----
 
 // dispatch hands free slots to the destinations with the smallest counters.
@@ -630,6 +640,9 @@
 			}
 		}
 	}
+	if p.streak > 0 {
+		ep.dest.kind.again += againGain * (1 - ep.dest.kind.again)
+	}
 	p.streak, p.fullSince = 0, 0
 	if ep.suspect {
 		d.returned(ep, c)
@@ -693,7 +706,9 @@
 		return
 	}
 	p.cutAt = d.now
-	p.streak++
+	if p.streak++; p.streak > 1 {
+		ep.dest.kind.again -= againGain * ep.dest.kind.again
+	}
 	want := ep.dest.demand.rate(d.now)
 	if wait == 0 {
 		base := min(max(backoffBase, Time(float64(Second)/2/want)), d.aim/2)
@@ -703,7 +718,7 @@
 	if p.allow == 0 {
 		p.allow = max(1, p.ok.rate(d.now)/want)
 	}
-	if p.streak < sureAfter {
+	if p.streak < sureAfter && ep.dest.kind.again >= againGood {
 		p.allow *= allowCut
 		p.tokens = max(0, min(p.tokens, 1-want*d.aim.seconds()))
 	} else { // refused calls may use up the limit: nobody is served until all senders ask less
@@ -913,7 +928,7 @@
 // kind returns what the destinations of a kind have in common.
 func (d *Dispatcher) kind(n int) *kind {
 	for len(d.kinds) <= n {
-		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle})
+		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, again: 1})
 	}
 	return d.kinds[n]
 }
--- a/control/state.go
+++ b/control/state.go
@@ -64,8 +64,9 @@
 // kind is what the destinations of one kind have in common.
 type kind struct {
 	lat    latency
-	keep   Time // idle age up to which connections are known to hold
-	scarce Time // until then connections are taken to be scarce
+	keep   Time    // idle age up to which connections are known to hold
+	again  float64 // how often the call after a refusal went well
+	scarce Time    // until then connections are taken to be scarce
 }
 
 // latency is a running mean and deviation.
