--- a/control/control.go
+++ b/control/control.go
@@ -309,6 +309,11 @@
 		if worst == nil {
 			return
 		}
+		if worst.dest.chance() < againGood { // it would only be refused elsewhere: the client is told not to come again
+			d.out = append(d.out, Action{Kind: Fail, Message: worst.id})
+			d.end(worst)
+			continue
+		}
 		d.finish(worst)
 	}
 }
@@ -667,7 +672,8 @@
 
 // chill starts an endpoint's ramp, as if it had come back at the moment given.
 func (d *Dispatcher) chill(ep *endpoint, back Time) {
-	ep.coldAt, ep.push, ep.pushAt = back, d.random(), d.now
+	ep.coldAt, ep.push = back, d.random()
+	ep.dest.demand.credit(d.now, &ep.past)
 }
 
 // failed counts calls that met nobody or silence; only one sent after the last failure was known is new evidence.
@@ -688,7 +694,8 @@
 	if ep.suspect {
 		return
 	}
-	ep.suspect, ep.downAt, ep.pushAt, ep.push = true, since, d.now, d.random()
+	ep.suspect, ep.downAt, ep.push = true, since, d.random()
+	ep.dest.demand.credit(d.now, &ep.past)
 	ep.trialGap = d.silence(ep.dest)
 	ep.trialAt = d.now
 	if ep.proven {
@@ -718,12 +725,9 @@
 	if p.allow == 0 {
 		p.allow = max(1, p.ok.rate(d.now)/want)
 	}
-	if p.streak < sureAfter && ep.dest.kind.again >= againGood {
-		p.allow *= allowCut
-		p.tokens = max(0, min(p.tokens, 1-want*d.aim.seconds()))
-	} else { // refused calls may use up the limit: nobody is served until all senders ask less
-		p.allow *= allowCut * allowCut
-		p.tokens = min(p.tokens, d.random())
+	p.allow *= min(allowCut, ep.dest.kind.again)
+	if p.streak >= sureAfter || ep.dest.kind.again < againGood {
+		p.tokens = min(p.tokens, d.random()) // retries, too, stay within the share
 	}
 	p.allow = max(p.allow, leastAllow)
 }
@@ -854,20 +858,20 @@
 // paced tells whether the allowed share of the demand and the ramp leave room for one more call.
 func (d *Dispatcher) paced(ep *endpoint) bool {
 	p, t := ep.pace, ep.dest
-	gone := (d.now - p.at).seconds()
-	p.at = d.now
-	rate := p.bound
+	credit := 1.0
+	want := t.demand.credit(d.now, &p.past)
+	if p.bound > 0 {
+		credit = p.bound * (d.now - p.at).seconds()
+	}
 	if p.allow > 0 {
-		if p.allow += allowRise * gone; p.allow > allowForget {
+		if p.allow += allowRise * (d.now - p.at).seconds(); p.allow > allowForget {
 			p.allow = 0
-		} else if r := p.allow * t.demand.rate(d.now); rate == 0 || r < rate {
-			rate = r
+		} else {
+			credit = min(credit, p.allow*want)
 		}
 	}
-	p.tokens = min(p.tokens+rate*gone, max(1, rate*rateBurst))
-	if rate == 0 {
-		p.tokens = 1
-	}
+	p.at = d.now
+	p.tokens = min(p.tokens+credit, max(1, rateBurst*p.allow*t.demand.rate(d.now), rateBurst*p.bound))
 	return p.tokens >= 1 && d.warm(ep)
 }
 
@@ -897,9 +901,8 @@
 			n++
 		}
 	}
-	rate := ep.dest.demand.rate(d.now) / float64(max(n, 1)) * warmth * rampMargin
-	ep.push = min(ep.push+rate*(d.now-ep.pushAt).seconds(), 1)
-	ep.pushAt = d.now
+	part := warmth * rampMargin / float64(max(n, 1))
+	ep.push = min(ep.push+part*ep.dest.demand.credit(d.now, &ep.past), 1)
 	return ep.push >= 1
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -57,8 +57,8 @@
 	dropped             Time    // idle age of the connection on which the last failed call went out
 	downAt, failedAt    Time    // while suspect: since when; when the last failure was known
 	trialAt, trialGap   Time    // next trial, and how long until the one after
-	coldAt, pushAt      Time    // start of its ramp, 0 none
-	push                float64 // calls that the ramp permits now
+	coldAt              Time    // start of its ramp, 0 none
+	push, past          float64 // calls that the ramp permits now; demand seen when that was reckoned
 }
 
 // kind is what the destinations of one kind have in common.
@@ -82,6 +82,7 @@
 type pace struct {
 	wait, at, cutAt, fullSince Time    // wait is told, or our own backoff
 	allow, bound, tokens       float64 // share of the own demand let go, 0 all; listed or reported rate
+	past                       float64 // demand seen when the tokens were reckoned
 	streak                     int
 	ok                         meter
 }
@@ -109,19 +110,32 @@
 
 // meter is a rate with exponential decay.
 type meter struct {
-	v           float64
+	v, n        float64
 	at, tau, t0 Time
 }
 
 func (m *meter) add(now Time, n float64) {
 	m.v = m.v*math.Exp(-float64(now-m.at)/float64(m.tau)) + n
 	m.at = now
+	m.n += n
+}
+
+// credit is what was counted since the last look, smoothed by the decay; last is moved on.
+func (m *meter) credit(now Time, last *float64) float64 {
+	past := m.n - m.v*math.Exp(-float64(now-m.at)/float64(m.tau))
+	gone := past - *last
+	*last = past
+	return gone / m.span(now)
+}
+
+// span is the part of the memory that is filled.
+func (m *meter) span(now Time) float64 {
+	return 1 - math.Exp(-float64(now-m.t0+meterStart)/float64(m.tau))
 }
 
 // rate is per second; the start is corrected for the short history.
 func (m *meter) rate(now Time) float64 {
-	span := 1 - math.Exp(-float64(now-m.t0+meterStart)/float64(m.tau))
-	return m.v * math.Exp(-float64(now-m.at)/float64(m.tau)) / m.tau.seconds() / span
+	return m.v * math.Exp(-float64(now-m.at)/float64(m.tau)) / m.tau.seconds() / m.span(now)
 }
 
 func (t Time) seconds() float64 { return float64(t) / float64(Second) }
