--- a/control/control.go
+++ b/control/control.go
@@ -70,7 +70,8 @@
 	resting      []*keyTurn
 	dests, live  []*dest // all; those with messages held or out
 	kinds        []*kind
-	busy, open   int // slots taken; messages owed an answer
+	left         []*endpoint // calls there ended in this round
+	busy, open   int         // slots taken; messages owed an answer
 	count, round uint64
 	tenants      []meter
 	all          meter
@@ -113,6 +114,7 @@
 		d.watch(t)
 	}
 	d.dispatch()
+	d.leave()
 	d.shed()
 	if now-d.tidied >= tidyEvery {
 		d.tidied = now
@@ -573,7 +575,7 @@
 	i := slices.Index(c.ep.calls, c)
 	c.ep.calls = slices.Delete(c.ep.calls, i, i+1)
 	c.ep.used = d.now
-	d.leave(c.ep)
+	d.left = append(d.left, c.ep)
 }
 
 func (d *Dispatcher) learn(c *call, e *Event) {
@@ -746,12 +748,16 @@
 	return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep)))
 }
 
-// leave closes the connections to an endpoint of a kind where they are scarce, once no call is out and none is held.
-func (d *Dispatcher) leave(ep *endpoint) {
-	if len(ep.calls) == 0 && d.now < ep.dest.kind.scarce && ep.dest.held == 0 {
-		d.out = append(d.out, Action{Kind: Close, Endpoint: ep.id})
-		ep.conns = 0
+// leave closes what this round left idle at endpoints of kinds where connections are scarce, hundreds of senders
+// each keeping one being enough to fill a table. It could hurt by handshakes where the failure was an outage.
+func (d *Dispatcher) leave() {
+	for _, ep := range d.left {
+		if len(ep.calls) == 0 && ep.conns > 0 && d.now < ep.dest.kind.scarce {
+			d.out = append(d.out, Action{Kind: Close, Endpoint: ep.id})
+			ep.conns = 0
+		}
 	}
+	d.left = d.left[:0]
 }
 
 // freshen closes connections idle for longer than is known to be safe before a call goes out on one, and
