--- a/control/control.go
+++ b/control/control.go
@@ -311,7 +311,7 @@
 		if worst == nil {
 			return
 		}
-		if worst.dest.chance() < againGood { // it would only be refused elsewhere: the client is told not to come again
+		if worst.dest.chance() < 1 { // it would only be refused elsewhere: the client is told not to come again
 			d.out = append(d.out, Action{Kind: Fail, Message: worst.id})
 			d.end(worst)
 			continue
