--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,10 @@
 	leastSilent = 300 * Millisecond // silence shorter than this is never suspicious: short pauses are common
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
 	sureAfter   = 2                 // calls in a row that met nobody or silence before an outage is taken as sure
+	sureLost    = 6                 // so many more for the share of answers that get lost, times this
+	lostGain    = 1.0 / 16          // weight of a new call in the share of answers that get lost over a kind
+	leastLost   = 0.01              // share of them reckoned with at least
+	lostDevs    = 1                 // silence: so many deviations and one more for each factor e in that share
 	slowFactor  = 3.0               // latency over its long view by this much: a slow destination
 	trialGrow   = 1.5               // each failed trial spaces the next one so much wider ...
 	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
@@ -627,13 +631,14 @@
 // silence is how long a destination may say nothing with a call out before that is suspicious.
 func (d *Dispatcher) silence(t *dest) Time {
 	mean, dev := d.latency(t)
-	return max(leastSilent, Time(mean+devs*dev*(1+1/(1+t.lat.n))))
+	return max(leastSilent, Time(mean+dev*min(devs, lostDevs-math.Log(t.kind.lost))*(1+1/(1+t.lat.n))))
 }
 
 func (d *Dispatcher) succeeded(ep *endpoint, c *call) {
 	ep.okSent = max(ep.okSent, c.sent)
 	p := ep.pace
 	p.ok.add(d.now, 1)
+	ep.dest.kind.lost += lostGain * (leastLost - ep.dest.kind.lost)
 	if p.allow > 0 {
 		p.allow += allowOK
 	}
@@ -665,13 +670,24 @@
 	gone := d.now - ep.downAt
 	switch {
 	case c.sent <= ep.downAt && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
-	case ep.bad >= sureAfter || gone > d.set.OverloadFor:
+	case d.sure(ep) || ep.proven && gone > d.set.OverloadFor:
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
 	case ep.dropped > 0:
 		ep.dest.kind.keep = min(ep.dest.kind.keep, ep.dropped)
+	case !ep.proven:
+		ep.dest.kind.lost += float64(ep.bad) * lostGain * (1 - ep.dest.kind.lost)
 	}
 }
 
+// sure tells that what failed in a row means an outage. Where answers get lost it takes more of them.
+func (d *Dispatcher) sure(ep *endpoint) bool {
+	n := sureAfter
+	if !ep.proven {
+		n += int(sureLost * ep.dest.kind.lost)
+	}
+	return ep.bad >= n || ep.errs >= failStreak
+}
+
 // chill starts an endpoint's ramp, as if it had come back at the moment given.
 func (d *Dispatcher) chill(ep *endpoint, back Time) {
 	ep.coldAt, ep.push = back, d.random()
@@ -821,6 +837,9 @@
 		}
 	}
 	c.asked = true
+	if k := c.ep.dest.kind; c.ep.okSent > c.sent {
+		k.lost += lostGain * (1 - k.lost)
+	}
 	for _, m := range c.msgs {
 		if m.out == c {
 			d.out = append(d.out, Action{Kind: Cancel, Message: m.id, Attempt: m.tries - 1})
@@ -888,7 +907,7 @@
 func (d *Dispatcher) warm(ep *endpoint) bool {
 	var warmth float64
 	switch {
-	case ep.suspect && ep.bad < sureAfter && ep.errs < failStreak:
+	case ep.suspect && !d.sure(ep):
 		return true // the trial that makes sure
 	case ep.suspect:
 		warmth = d.warmth((d.now - ep.failedAt) / doubtFade)
@@ -937,7 +956,7 @@
 // kind returns what the destinations of a kind have in common.
 func (d *Dispatcher) kind(n int) *kind {
 	for len(d.kinds) <= n {
-		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, again: 1})
+		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, again: 1, lost: leastLost})
 	}
 	return d.kinds[n]
 }
