--- a/control/control.go
+++ b/control/control.go
@@ -668,7 +668,7 @@
 func (d *Dispatcher) returned(ep *endpoint, c *call) {
 	gone := d.now - ep.downAt
 	switch {
-	case c.sent <= ep.downAt && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
+	case !c.trial && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
 	case d.sure(ep) || ep.proven && gone > d.set.OverloadFor:
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
 	case ep.dropped > 0:
