--- a/control/control.go
+++ b/control/control.go
@@ -33,8 +33,7 @@
 	backoffMost = 4 * Second        // ... up to this
 	allowCut    = 0.7               // share of the own demand allowed after a refusal, of the share before
 	allowOK     = 0.1               // its growth by an ok ...
-	allowRise   = 0.005             // ... and in a second
-	againGain   = 1.0 / 16          // weight of a new call in how often, over a kind, the call after a refusal went well
+	allowRise   = 0.05              // and by a message of the demand
 	leastAllow  = 0.05              // its floor
 	allowForget = 2                 // past so many times the demand the limit is not felt any more
 	rateTau     = 2 * Second        // memory of the measured rates
@@ -314,7 +313,7 @@
 		if worst == nil {
 			return
 		}
-		if worst.dest.chance() < 1 { // it would only be refused elsewhere: the client is told not to come again
+		if worst.dest.chance() < 1 && worst.dest.demand.rate(d.now)*d.aim.seconds() < 1 { // it would only be refused elsewhere: the client is told not to come again
 			d.out = append(d.out, Action{Kind: Fail, Message: worst.id})
 			d.end(worst)
 			continue
@@ -651,9 +650,6 @@
 			}
 		}
 	}
-	if p.streak > 0 {
-		ep.dest.kind.again += againGain * (1 - ep.dest.kind.again)
-	}
 	p.streak, p.fullSince = 0, 0
 	if ep.suspect {
 		d.returned(ep, c)
@@ -730,9 +726,7 @@
 		return
 	}
 	p.cutAt = d.now
-	if p.streak++; p.streak > 1 {
-		ep.dest.kind.again -= againGain * ep.dest.kind.again
-	}
+	p.streak++
 	want := ep.dest.demand.rate(d.now)
 	if wait == 0 {
 		base := min(max(backoffBase, Time(float64(Second)/2/want)), d.aim/2)
@@ -742,7 +736,7 @@
 	if p.allow == 0 {
 		p.allow = 1
 	}
-	p.allow *= min(allowCut, ep.dest.kind.again)
+	p.allow *= allowCut
 	p.tokens = min(p.tokens, d.random()) // retries, too, stay within the share
 	p.allow = max(p.allow, leastAllow)
 }
@@ -887,7 +881,9 @@
 		credit = p.bound * (d.now - p.at).seconds()
 	}
 	if p.allow > 0 {
-		if p.allow += allowRise * (d.now - p.at).seconds(); p.allow > allowForget {
+		// So much for each message of the own demand, but not faster than in the time of two a second.
+		p.allow += allowRise * min(want, 2*(d.now-p.at).seconds())
+		if p.allow > allowForget {
 			p.allow = 0
 		} else {
 			credit = min(credit, p.allow*want)
@@ -954,7 +950,7 @@
 // kind returns what the destinations of a kind have in common.
 func (d *Dispatcher) kind(n int) *kind {
 	for len(d.kinds) <= n {
-		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, again: 1, lost: leastLost})
+		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, lost: leastLost})
 	}
 	return d.kinds[n]
 }
--- a/control/state.go
+++ b/control/state.go
@@ -66,7 +66,6 @@
 	lat    latency
 	keep   Time    // idle age up to which connections are known to hold
 	lost   float64 // share of answers that get lost
-	again  float64 // how often the call after a refusal went well
 	scarce Time    // until then connections are taken to be scarce
 }
 
