--- a/control/control.go
+++ b/control/control.go
@@ -32,8 +32,8 @@
 	backoffBase = 100 * Millisecond // least first pause after a refusal that told no wait; doubles ...
 	backoffMost = 4 * Second        // ... up to this
 	allowCut    = 0.7               // share of the own demand allowed after a refusal, of the share before
-	allowOK     = 0.1               // its growth by an ok ...
-	allowRise   = 0.05              // and by a message of the demand
+	allowOK     = 0.1               // its growth by an ok, but no faster than this in a second ...
+	allowRise   = 0.02              // and by a message of the demand
 	leastAllow  = 0.05              // its floor
 	allowForget = 2                 // past so many times the demand the limit is not felt any more
 	rateTau     = 2 * Second        // memory of the measured rates
@@ -638,7 +638,7 @@
 	p.ok.add(d.now, 1)
 	ep.dest.kind.lost += lostGain * (leastLost - ep.dest.kind.lost)
 	if p.allow > 0 {
-		p.allow += allowOK
+		p.allow += allowOK * min(1, (d.now-max(p.okAt, p.cutAt)).seconds())
 	}
 	if k := ep.dest.kind; 2*c.idle > k.keep {
 		k.keep = min(Time(keepGrow*float64(k.keep)), d.set.ConnIdle*2)
@@ -650,7 +650,7 @@
 			}
 		}
 	}
-	p.streak, p.fullSince = 0, 0
+	p.streak, p.fullSince, p.okAt = 0, 0, d.now
 	if ep.suspect {
 		d.returned(ep, c)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -80,11 +80,11 @@
 
 // pace is what bounds the rate to a destination, or to one route where routes are apart.
 type pace struct {
-	wait, at, cutAt, fullSince Time    // wait is told, or our own backoff
-	allow, bound, tokens       float64 // share of the own demand let go, 0 all; listed or reported rate
-	past                       float64 // demand seen when the tokens were reckoned
-	streak                     int
-	ok                         meter
+	wait, at, cutAt, okAt, fullSince Time    // wait is told, or our own backoff
+	allow, bound, tokens             float64 // share of the own demand let go, 0 all; listed or reported rate
+	past                             float64 // demand seen when the tokens were reckoned
+	streak                           int
+	ok                               meter
 }
 
 // dest is a destination: its hold, turn counter, window and what was learned.
