--- a/control/control.go
+++ b/control/control.go
@@ -591,8 +591,15 @@
 		ep.heard = d.now
 		d.refused(ep, c, e.Wait)
 	case ConnectFailed:
-		// It may be an outage or that its connections are all taken, idle ones too: those are closed for a while.
-		t.kind.scarce = d.now + scarceFor
+		// It may be an outage or that its connections are all taken, idle ones too. Those of many senders fill a
+		// table that holds the calls of one: they are closed for a while.
+		if d.set.Instances > d.set.Slots {
+			t.kind.scarce = d.now + scarceFor
+		}
+		if ep.bad == 0 && len(ep.calls) > 1 && d.now-ep.heard < d.silence(t) {
+			d.refused(ep, c, 0) // others are answered: no outage
+			return
+		}
 		d.failed(ep, c, true)
 	case TimedOut, Reset:
 		d.failed(ep, c, false)
