--- a/control/control.go
+++ b/control/control.go
@@ -44,6 +44,7 @@
 	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, under tip-multiple
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
 	scarceFor   = 30 * Second       // connections count as scarce so long after the last sign of it
+	dropsSure   = 0.1               // share of calls on idle connections that fail before those are taken to be dropped unseen
 	keepShare   = 0.8               // idle connections are used up to this part of the age at which one failed
 	keepGrow    = 1.02              // growth of that age by an ok
 	overMargin  = 1.1               // a tenant is over its share when past it by this factor
@@ -647,7 +648,8 @@
 	if p.allow > 0 {
 		p.allow += allowOK * min(1, (d.now-max(p.okAt, p.cutAt)).seconds())
 	}
-	if k := ep.dest.kind; 2*c.idle > k.keep {
+	if k := ep.dest.kind; c.idle > 0 {
+		k.drops -= lostGain * k.drops
 		k.keep = min(Time(keepGrow*float64(k.keep)), d.set.ConnIdle*2)
 	}
 	if p.streak > 0 && p.fullSince > 0 && d.now-p.fullSince > d.set.OverloadFor {
@@ -675,7 +677,11 @@
 	case d.sure(ep) || ep.proven && gone > d.set.OverloadFor:
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
 	case ep.dropped > 0:
-		ep.dest.kind.keep = min(ep.dest.kind.keep, ep.dropped)
+		if k := ep.dest.kind; k.drops > dropsSure {
+			k.keep = min(k.keep, ep.dropped)
+		} else {
+			k.drops += lostGain * (1 - k.drops)
+		}
 	case !ep.proven:
 		ep.dest.kind.lost += float64(ep.bad) * lostGain * (1 - ep.dest.kind.lost)
 	}
@@ -810,13 +816,13 @@
 			ep.downAt = min(ep.downAt, max(old.sent, ep.heard))
 		}
 		for _, c := range ep.calls {
-			age, patience := d.now-c.sent, limit
+			age := float64(d.now - c.sent)
+			patience := float64(limit) * (stuckAfter - min(1, sureLost*t.kind.lost))
 			if c.trial {
-				patience *= Time(1 + min(ep.bad, failStreak))
+				patience *= float64(1 + min(ep.bad, failStreak))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
-				late := stuckAfter - min(1, sureLost*t.kind.lost)
-				d.recall(c, float64(age) > late*float64(limit) && d.crowded())
+				d.recall(c, d.crowded())
 			}
 		}
 	}
