--- a/control/control.go
+++ b/control/control.go
@@ -817,12 +817,12 @@
 		}
 		for _, c := range ep.calls {
 			age := float64(d.now - c.sent)
-			patience := float64(limit) * (stuckAfter - min(1, sureLost*t.kind.lost))
+			patience := float64(limit)
 			if c.trial {
 				patience *= float64(1 + min(ep.bad, failStreak))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
-				d.recall(c, d.crowded())
+				d.recall(c, age > patience*(stuckAfter-min(1, sureLost*t.kind.lost)) && d.crowded())
 			}
 		}
 	}
