--- a/control/control.go
+++ b/control/control.go
@@ -44,7 +44,7 @@
 	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, under tip-multiple
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
 	scarceFor   = 30 * Second       // connections count as scarce so long after the last sign of it
-	dropsSure   = 0.1               // share of calls on idle connections that fail before those are taken to be dropped unseen
+	dropsSure   = 0.2               // share of calls on idle connections that fail before those are taken to be dropped unseen
 	keepShare   = 0.8               // idle connections are used up to this part of the age at which one failed
 	keepGrow    = 1.02              // growth of that age by an ok
 	overMargin  = 1.1               // a tenant is over its share when past it by this factor
@@ -676,14 +676,14 @@
 	case !c.trial && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
 	case d.sure(ep) || ep.proven && gone > d.set.OverloadFor:
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
-	case ep.dropped > 0:
-		if k := ep.dest.kind; k.drops > dropsSure {
-			k.keep = min(k.keep, ep.dropped)
-		} else {
-			k.drops += lostGain * (1 - k.drops)
-		}
 	case !ep.proven:
-		ep.dest.kind.lost += float64(ep.bad) * lostGain * (1 - ep.dest.kind.lost)
+		k := ep.dest.kind
+		k.lost += float64(ep.bad) * lostGain * (1 - k.lost)
+		if ep.dropped > 0 {
+			if k.drops += lostGain * (1 - k.drops); k.drops > dropsSure {
+				k.keep = min(k.keep, ep.dropped)
+			}
+		}
 	}
 }
 
@@ -817,12 +817,12 @@
 		}
 		for _, c := range ep.calls {
 			age := float64(d.now - c.sent)
-			patience := float64(limit)
+			patience := float64(limit) * (stuckAfter - min(1, sureLost*t.kind.lost))
 			if c.trial {
 				patience *= float64(1 + min(ep.bad, failStreak))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
-				d.recall(c, age > patience*(stuckAfter-min(1, sureLost*t.kind.lost)) && d.crowded())
+				d.recall(c, d.crowded())
 			}
 		}
 	}
