--- a/control/control.go
+++ b/control/control.go
@@ -22,7 +22,6 @@
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
 	sureAfter   = 2                 // calls in a row that met nobody or silence before an outage is taken as sure
 	sureLost    = 6                 // so many more for the share of answers that get lost, times this
-	soonLost    = 20                // a call is given up after one silence, not two, as that share times this nears one
 	lostGain    = 1.0 / 8           // weight of a new call in the share of answers that get lost over a kind
 	leastLost   = 0.01              // share of them reckoned with at least
 	lostDevs    = 1                 // silence: so many deviations and one more for each factor e in that share
@@ -807,7 +806,7 @@
 	if t.w == 0 {
 		return
 	}
-	limit := d.silence(t)
+	limit, crowded := d.silence(t), d.crowded()
 	for _, ep := range t.eps {
 		if len(ep.calls) == 0 {
 			continue
@@ -818,12 +817,15 @@
 		}
 		for _, c := range ep.calls {
 			age := float64(d.now - c.sent)
-			patience := float64(limit) * (stuckAfter - min(1, soonLost*t.kind.lost))
+			patience := float64(limit) * (stuckAfter - min(1, sureLost*t.kind.lost))
+			if crowded {
+				patience = float64(limit)
+			}
 			if c.trial {
 				patience = float64(limit) * float64(1+min(ep.bad, failStreak))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
-				d.recall(c, d.crowded())
+				d.recall(c, crowded && age > patience*(stuckAfter-min(1, sureLost*t.kind.lost)))
 			}
 		}
 	}
