--- a/control/control.go
+++ b/control/control.go
@@ -22,6 +22,7 @@
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
 	sureAfter   = 2                 // calls in a row that met nobody or silence before an outage is taken as sure
 	sureLost    = 6                 // so many more for the share of answers that get lost, times this
+	scarceSoon  = 5                 // so much less of that share has calls given up after one silence where slots are scarce
 	lostGain    = 1.0 / 8           // weight of a new call in the share of answers that get lost over a kind
 	leastLost   = 0.01              // share of them reckoned with at least
 	lostDevs    = 1                 // silence: so many deviations and one more for each factor e in that share
@@ -806,7 +807,10 @@
 	if t.w == 0 {
 		return
 	}
-	limit, crowded := d.silence(t), d.crowded()
+	limit, crowded, soon := d.silence(t), d.crowded(), float64(sureLost)
+	if crowded {
+		soon *= scarceSoon
+	}
 	for _, ep := range t.eps {
 		if len(ep.calls) == 0 {
 			continue
@@ -817,10 +821,7 @@
 		}
 		for _, c := range ep.calls {
 			age := float64(d.now - c.sent)
-			patience := float64(limit) * (stuckAfter - min(1, sureLost*t.kind.lost))
-			if crowded {
-				patience = float64(limit)
-			}
+			patience := float64(limit) * (stuckAfter - min(1, soon*t.kind.lost))
 			if c.trial {
 				patience = float64(limit) * float64(1+min(ep.bad, failStreak))
 			}
