--- a/control/control.go
+++ b/control/control.go
@@ -80,6 +80,7 @@
 	tenants      []meter
 	all          meter
 	quota        float64
+	lost         float64 // share of answers that get lost
 }
 
 // New returns a Dispatcher, or an error that names the setting at fault.
@@ -89,7 +90,7 @@
 	}
 	d := &Dispatcher{
 		set: s, rng: seed*2862933555777941757 + 3037000493, msgs: map[MessageID]*message{}, keys: map[uint64]*keyTurn{},
-		byNo: map[int]*dest{}, byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)), aim: s.Classes[0].Aim,
+		byNo: map[int]*dest{}, byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)), aim: s.Classes[0].Aim, lost: leastLost,
 	}
 	for _, t := range s.Tenants {
 		d.quota += t.Quota
@@ -638,14 +639,14 @@
 // silence is how long a destination may say nothing with a call out before that is suspicious.
 func (d *Dispatcher) silence(t *dest) Time {
 	mean, dev := d.latency(t)
-	return max(leastSilent, Time(mean+dev*min(devs, lostDevs-math.Log(t.kind.lost))*(1+1/(1+t.lat.n))))
+	return max(leastSilent, Time(mean+dev*min(devs, lostDevs-math.Log(d.lost))*(1+1/(1+t.lat.n))))
 }
 
 func (d *Dispatcher) succeeded(ep *endpoint, c *call) {
 	ep.okSent = max(ep.okSent, c.sent)
 	p := ep.pace
 	p.ok.add(d.now, 1)
-	ep.dest.kind.lost += lostGain * (leastLost - ep.dest.kind.lost)
+	d.lost += lostGain * (leastLost - d.lost)
 	if p.allow > 0 {
 		p.allow += allowOK * min(1, (d.now-max(p.okAt, p.cutAt)).seconds())
 	}
@@ -675,11 +676,11 @@
 	gone := d.now - ep.downAt
 	switch {
 	case !c.trial && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
-	case d.sure(ep) || ep.proven && gone > d.set.OverloadFor:
+	case (d.sure(ep) || ep.proven) && gone > d.set.OverloadFor:
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
 	case !ep.proven:
 		k := ep.dest.kind
-		k.lost += float64(ep.bad) * lostGain * (1 - k.lost)
+		d.lost += float64(ep.bad) * lostGain * (1 - d.lost)
 		if ep.dropped > 0 {
 			if k.drops += lostGain * (1 - k.drops); k.drops > dropsSure {
 				k.keep = min(k.keep, ep.dropped)
@@ -692,7 +693,7 @@
 func (d *Dispatcher) sure(ep *endpoint) bool {
 	n := sureAfter
 	if !ep.proven {
-		n += int(sureLost * ep.dest.kind.lost)
+		n += int(sureLost * d.lost)
 	}
 	return ep.bad >= n || ep.errs >= failStreak
 }
@@ -821,12 +822,12 @@
 		}
 		for _, c := range ep.calls {
 			age := float64(d.now - c.sent)
-			patience := float64(limit) * (stuckAfter - min(1, soon*t.kind.lost))
+			patience := float64(limit) * (stuckAfter - min(1, soon*d.lost))
 			if c.trial {
 				patience = float64(limit) * float64(1+min(ep.bad, failStreak))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
-				d.recall(c, crowded && age > patience*(stuckAfter-min(1, sureLost*t.kind.lost)))
+				d.recall(c, crowded && age > patience*(stuckAfter-min(1, sureLost*d.lost)))
 			}
 		}
 	}
@@ -846,8 +847,8 @@
 		}
 	}
 	c.asked = true
-	if k := c.ep.dest.kind; c.ep.okSent > c.sent {
-		k.lost += lostGain * (1 - k.lost)
+	if c.ep.okSent > c.sent {
+		d.lost += lostGain * (1 - d.lost)
 	}
 	for _, m := range c.msgs {
 		if m.out == c {
@@ -967,7 +968,7 @@
 // kind returns what the destinations of a kind have in common.
 func (d *Dispatcher) kind(n int) *kind {
 	for len(d.kinds) <= n {
-		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, lost: leastLost})
+		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle})
 	}
 	return d.kinds[n]
 }
--- a/control/state.go
+++ b/control/state.go
@@ -65,7 +65,6 @@
 type kind struct {
 	lat    latency
 	keep   Time    // idle age up to which connections are known to hold
-	lost   float64 // share of answers that get lost
 	drops  float64 // share of calls on idle connections that failed where the next one went well
 	scarce Time    // until then connections are taken to be scarce
 }
