--- a/control/control.go
+++ b/control/control.go
@@ -22,7 +22,6 @@
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
 	sureAfter   = 2                 // calls in a row that met nobody or silence before an outage is taken as sure
 	sureLost    = 6                 // so many more for the share of answers that get lost, times this
-	scarceSoon  = 5                 // so much less of that share has calls given up after one silence where slots are scarce
 	lostGain    = 1.0 / 8           // weight of a new call in the share of answers that get lost over a kind
 	leastLost   = 0.01              // share of them reckoned with at least
 	lostDevs    = 1                 // silence: so many deviations and one more for each factor e in that share
@@ -81,6 +80,7 @@
 	all          meter
 	quota        float64
 	lost         float64 // share of answers that get lost
+	short        bool    // messages wait for want of slots
 }
 
 // New returns a Dispatcher, or an error that names the setting at fault.
@@ -345,9 +345,10 @@
 			}
 		}
 		if best == nil {
+			d.short = false
 			return
 		}
-		if d.busy >= d.set.Slots {
+		if d.short = d.busy >= d.set.Slots; d.short {
 			return
 		}
 		if !d.release(best) {
@@ -808,10 +809,7 @@
 	if t.w == 0 {
 		return
 	}
-	limit, crowded, soon := d.silence(t), d.crowded(), float64(sureLost)
-	if crowded {
-		soon *= scarceSoon
-	}
+	limit := d.silence(t)
 	for _, ep := range t.eps {
 		if len(ep.calls) == 0 {
 			continue
@@ -822,20 +820,20 @@
 		}
 		for _, c := range ep.calls {
 			age := float64(d.now - c.sent)
-			patience := float64(limit) * (stuckAfter - min(1, soon*d.lost))
+			patience := float64(limit) * (stuckAfter - min(1, sureLost*d.lost))
+			if d.short {
+				patience = float64(limit)
+			}
 			if c.trial {
 				patience = float64(limit) * float64(1+min(ep.bad, failStreak))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
-				d.recall(c, crowded && age > patience*(stuckAfter-min(1, sureLost*d.lost)))
+				d.recall(c, d.short && age > patience*(stuckAfter-min(1, sureLost*d.lost)))
 			}
 		}
 	}
 }
 
-// crowded tells that messages wait for want of slots.
-func (d *Dispatcher) crowded() bool { return d.busy >= d.set.Slots && d.open > d.busy }
-
 // recall stops waiting for a call whose messages can go again; force also gives up the others.
 func (d *Dispatcher) recall(c *call, force bool) {
 	if c.asked || !d.set.MayCancel {
