--- a/control/control.go
+++ b/control/control.go
@@ -35,6 +35,7 @@
 	allowOK     = 0.1               // its growth by an ok, but no faster than this in a second ...
 	allowRise   = 0.02              // and by a message of the demand
 	leastAllow  = 0.05              // its floor
+	heldAims    = 2                 // aims after which a held message counts as demand once more
 	allowForget = 2                 // past so many times the demand the limit is not felt any more
 	rateTau     = 2 * Second        // memory of the measured rates
 	meterStart  = Second / 2        // history reckoned for a rate that has just begun to be measured
@@ -893,6 +894,7 @@
 	p, t := ep.pace, ep.dest
 	credit := 1.0
 	want := t.demand.credit(d.now, &p.past)
+	want += float64(t.held) * (d.now - p.at).seconds() / (heldAims * d.aim.seconds())
 	if p.bound > 0 {
 		credit = p.bound * (d.now - p.at).seconds()
 	}
