--- a/control/control.go
+++ b/control/control.go
@@ -663,6 +663,9 @@
 			}
 		}
 	}
+	if p.streak > 0 {
+		ep.dest.kind.again += lostGain * (1 - ep.dest.kind.again)
+	}
 	p.streak, p.fullSince, p.okAt = 0, 0, d.now
 	if ep.suspect {
 		d.returned(ep, c)
@@ -743,7 +746,9 @@
 		return
 	}
 	p.cutAt = d.now
-	p.streak++
+	if p.streak++; p.streak > 1 {
+		ep.dest.kind.again -= lostGain * ep.dest.kind.again
+	}
 	want := ep.dest.demand.rate(d.now)
 	if wait == 0 {
 		base := min(max(backoffBase, Time(float64(Second)/2/want)), d.aim/2)
@@ -894,7 +899,7 @@
 	p, t := ep.pace, ep.dest
 	credit := 1.0
 	want := t.demand.credit(d.now, &p.past)
-	want += float64(t.held) * (d.now - p.at).seconds() / (heldAims * d.aim.seconds())
+	want += max(0, 2*t.kind.again-1) * float64(t.held) * (d.now - p.at).seconds() / (heldAims * d.aim.seconds())
 	if p.bound > 0 {
 		credit = p.bound * (d.now - p.at).seconds()
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -65,6 +65,7 @@
 type kind struct {
 	lat    latency
 	keep   Time    // idle age up to which connections are known to hold
+	again  float64 // how often the call after a refusal went well
 	drops  float64 // share of calls on idle connections that failed where the next one went well
 	scarce Time    // until then connections are taken to be scarce
 }
