--- a/control/control.go
+++ b/control/control.go
@@ -899,7 +899,7 @@
 	p, t := ep.pace, ep.dest
 	credit := 1.0
 	want := t.demand.credit(d.now, &p.past)
-	want += min(1, 2*t.kind.again*t.kind.again) * float64(t.held) * (d.now - p.at).seconds() / (heldAims * d.aim.seconds())
+	want += t.kind.again * t.kind.again * float64(t.held) * (d.now - p.at).seconds() / (heldAims * d.aim.seconds())
 	if p.bound > 0 {
 		credit = p.bound * (d.now - p.at).seconds()
 	}
@@ -973,7 +973,7 @@
 // kind returns what the destinations of a kind have in common.
 func (d *Dispatcher) kind(n int) *kind {
 	for len(d.kinds) <= n {
-		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, again: 0.5})
+		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, again: 0.3})
 	}
 	return d.kinds[n]
 }
