--- a/control/control.go
+++ b/control/control.go
@@ -15,12 +15,12 @@
 	cleanShare  = 0.1               // an interval with more than this share of bad ends is not clean
 	latGain     = 1.0 / 8           // weight of a new latency sample
 	baseGain    = 1.0 / 64          // the same for the long view, against which slow is told
-	priorCount  = 2                 // samples that the latency of the kind counts for at a destination without own ones
-	devs        = 6                 // deviations past the mean before silence is suspicious; twice that without samples
+	priorCount  = 2                 // samples that the latency of the kind counts for
+	devs        = 6                 // deviations past the mean before silence is suspicious, more at first
 	firstLat    = 400 * Millisecond // latency believed before the first answer
 	leastSilent = 300 * Millisecond // silence shorter than this is never suspicious: short pauses are common
 	failStreak  = 5                 // errors in a row that make an endpoint suspect
-	sureAfter   = 2                 // calls in a row that met nobody or silence before an outage is taken as sure
+	sureAfter   = 2                 // calls in a row that met nobody or silence before an outage is sure
 	sureLost    = 6                 // so many more for the share of answers that get lost, times this
 	lostGain    = 1.0 / 8           // weight of a new call in the share of answers that get lost over a kind
 	leastLost   = 0.01              // share of them reckoned with at least
@@ -28,15 +28,16 @@
 	slowFactor  = 3.0               // latency over its long view by this much: a slow destination
 	trialGrow   = 1.5               // each failed trial spaces the next one so much wider ...
 	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
-	doubtFade   = 2                 // warm-ups after which an endpoint unseen since its failure is tried like any other
+	doubtFade   = 4                 // warm-ups after which one unseen since its failure is tried like any other
 	backoffBase = 100 * Millisecond // least first pause after a refusal that told no wait; doubles ...
 	backoffMost = 4 * Second        // ... up to this
 	allowCut    = 0.7               // share of the own demand allowed after a refusal, of the share before
 	allowOK     = 0.1               // its growth by an ok, but no faster than this in a second ...
-	allowRise   = 0.02              // and by a message of the demand
+	allowRise   = 0.05              // and by a message of the demand, two a second at most
 	leastAllow  = 0.05              // its floor
-	heldAims    = 2                 // aims after which a held message counts as demand once more
-	allowForget = 2                 // past so many times the demand the limit is not felt any more
+	heldAims    = 2                 // aims after which a held message is demand again, times the square of ...
+	firstAgain  = 0.3               // ... how often over a kind the call after a refusal goes well, at first
+	unfelt      = 2.0               // past so many times the demand a limit is not felt any more
 	rateTau     = 2 * Second        // memory of the measured rates
 	meterStart  = Second / 2        // history reckoned for a rate that has just begun to be measured
 	demandTau   = 10 * Second       // memory of the demand that ramps and shares are sized by
@@ -45,7 +46,7 @@
 	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, under tip-multiple
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
 	scarceFor   = 30 * Second       // connections count as scarce so long after the last sign of it
-	dropsSure   = 0.2               // share of calls on idle connections that fail before those are taken to be dropped unseen
+	dropsSure   = 0.2               // share of calls on idle connections that fail before they count as dropped
 	keepShare   = 0.8               // idle connections are used up to this part of the age at which one failed
 	keepGrow    = 1.02              // growth of that age by an ok
 	overMargin  = 1.1               // a tenant is over its share when past it by this factor
@@ -57,15 +58,17 @@
 	openReserve = 16                // one part in so many of max-open is kept free for better messages
 	wakeTicks   = 4                 // ticks between looks at the clock while anything is held or out
 	tidyEvery   = 10 * Second       // state without use is looked for so often
+	noteEvery   = 10 * Second       // lines for the operators are so far apart at least
 )
 
 // Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
 type Dispatcher struct {
 	set          Settings
 	rng          uint64
+	aim          Time // the least aim of a class
 	now, wake    Time
 	tidied       Time
-	aim          Time // the least aim of a class
+	noteAt       Time
 	out          []Action
 	msgs         map[MessageID]*message
 	keys         map[uint64]*keyTurn
@@ -90,8 +93,9 @@
 		return nil, err
 	}
 	d := &Dispatcher{
-		set: s, rng: seed*2862933555777941757 + 3037000493, msgs: map[MessageID]*message{}, keys: map[uint64]*keyTurn{},
-		byNo: map[int]*dest{}, byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)), aim: s.Classes[0].Aim, lost: leastLost,
+		set: s, rng: seed*2862933555777941757 + 3037000493, aim: s.Classes[0].Aim, lost: leastLost,
+		msgs: map[MessageID]*message{}, keys: map[uint64]*keyTurn{}, byNo: map[int]*dest{},
+		byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)),
 	}
 	for _, t := range s.Tenants {
 		d.quota += t.Quota
@@ -99,6 +103,9 @@
 	for _, c := range s.Classes {
 		d.aim = min(d.aim, c.Aim)
 	}
+	for range max(1, len(s.Kinds)) {
+		d.kinds = append(d.kinds, &kind{keep: 2 * s.ConnIdle, again: firstAgain})
+	}
 	return d, nil
 }
 
@@ -146,7 +153,7 @@
 		}
 	case Tick:
 		if m := d.msgs[MessageID(e.Mark-1)]; e.Mark > 0 && m != nil && !m.ended {
-			d.finish(m)
+			d.finish(m, true)
 		}
 	case List:
 		d.list(e)
@@ -174,6 +181,7 @@
 	}
 	d.msgs[m.id] = m
 	d.open++
+	m.dest.open++
 	m.dest.demand.add(d.now, 1)
 	// The answer leaves before the time is up, one round early for rounding.
 	d.out = append(d.out, Action{Kind: Timer, After: max(e.Grace-2*d.set.Tick, 0), Mark: uint64(m.id) + 1})
@@ -209,9 +217,8 @@
 		k.queue = k.queue[1:]
 	}
 	if len(k.queue) == 0 {
-		if k.rest <= d.now {
-			delete(d.keys, k.key)
-		} else { // the rest binds those to come
+		if !k.parked { // its rest binds those to come; it is dropped later
+			k.parked = true
 			d.resting = append(d.resting, k)
 		}
 		return
@@ -225,13 +232,15 @@
 func (d *Dispatcher) hold(m *message) {
 	t := m.dest
 	if t.held == 0 {
-		least, found := 0.0, false
+		least := math.Inf(1)
 		for _, o := range d.live {
-			if o != t && (o.held > 0 || o.w > 0) && (!found || o.acc < least) {
-				least, found = o.acc, true
+			if o != t && (o.held > 0 || o.w > 0) {
+				least = min(least, o.acc)
 			}
 		}
-		t.acc = least
+		if t.acc = least; math.IsInf(least, 1) {
+			t.acc = 0
+		}
 	}
 	t.put(m)
 	if !t.live {
@@ -240,10 +249,10 @@
 	}
 }
 
-// finish gives a final answer: handed back where that is provably harmless, else failed.
-func (d *Dispatcher) finish(m *message) {
+// finish gives a final answer: handed back, if that is wanted and provably harmless, else failed.
+func (d *Dispatcher) finish(m *message, back bool) {
 	a := Action{Kind: Fail, Message: m.id}
-	if d.refusable(m) {
+	if back && d.refusable(m) {
 		a.Kind = Refuse
 	}
 	d.out = append(d.out, a)
@@ -261,6 +270,7 @@
 	if !m.ended {
 		m.ended = true
 		d.open--
+		m.dest.open--
 		m.dest.drop(m)
 	}
 	if m.out != nil {
@@ -272,24 +282,6 @@
 	}
 }
 
-// worth is what delivering the message at t would earn.
-func (d *Dispatcher) worth(m *message, t Time) float64 {
-	c, v := m.class, m.class.Worth
-	if m.over {
-		v *= d.set.OverShare
-	}
-	late := t - m.born - c.Aim
-	switch {
-	case t >= m.deadline:
-		return 0
-	case late <= 0:
-		return v
-	case d.set.LateHalving:
-		return v * max(c.LateWorth, math.Exp2(-float64(late)/float64(max(c.Aim, 1))))
-	}
-	return v * (1 - (1-c.LateWorth)*float64(late)/float64(max(c.Deadline-c.Aim, 1)))
-}
-
 // shed keeps room below max-open by handing back what is worth least, from the lanes' two ends.
 // Guards against overload and long outages filling the hold, where better messages would be turned
 // away unseen. It could hurt where an outage ends just after: the reserve is kept small for that.
@@ -308,7 +300,7 @@
 					if !d.refusable(m) {
 						continue
 					}
-					if v := d.worth(m, d.now+ahead) * t.chance(); v < least {
+					if v := d.worth(m, d.now+ahead) * min(1, t.pace.allow); v < least {
 						worst, least = m, v
 					}
 				}
@@ -317,23 +309,13 @@
 		if worst == nil {
 			return
 		}
-		if worst.dest.chance() < 1 && worst.dest.demand.rate(d.now)*d.aim.seconds() < 1 { // it would only be refused elsewhere: the client is told not to come again
-			d.out = append(d.out, Action{Kind: Fail, Message: worst.id})
-			d.end(worst)
-			continue
-		}
-		d.finish(worst)
+		// Where a limit is felt and traffic is rare, other senders know nothing of the limit: if clients came
+		// again there it would only be refused once more.
+		hopeless := worst.dest.pace.allow < 1 && worst.dest.demand.rate(d.now)*d.aim.seconds() < 1
+		d.finish(worst, !hopeless)
 	}
 }
 
-// chance is how likely a held message is to be let go: the allowed share, where a limit is felt.
-func (t *dest) chance() float64 {
-	if t.pace.allow > 0 {
-		return min(1, t.pace.allow)
-	}
-	return 1
-}
-
 // ---- ordinary path: turns and windows ----
 
 // dispatch hands free slots to the destinations with the smallest counters.
@@ -385,11 +367,7 @@
 	d.busy++
 	t.w++
 	ep.calls = append(ep.calls, c)
-	need := (len(ep.calls) + d.streams() - 1) / d.streams()
-	if ep.conns < need || d.now-ep.used > d.keep(t) {
-		ep.conns = need
-	}
-	ep.used = d.now
+	ep.open, ep.used = true, d.now
 	ep.pace.tokens--
 	ep.push -= 1 + batchExtra*float64(len(c.msgs)-1)
 	if c.trial {
@@ -405,11 +383,11 @@
 	m.tries++
 	c.msgs = append(c.msgs, m)
 	c.left++
-	var limit Time
+	a := Action{Kind: Send, Message: m.id, Endpoint: c.ep.id}
 	if !d.set.MayCancel && m.class.Effect != SingleShot {
-		limit = stuckAfter * d.silence(m.dest)
+		a.After = stuckAfter * d.silence(m.dest)
 	}
-	d.out = append(d.out, Action{Kind: Send, Message: m.id, Endpoint: c.ep.id, After: limit})
+	d.out = append(d.out, a)
 }
 
 // gate is the one place that permits a send; every rule that binds sends is here.
@@ -440,7 +418,7 @@
 	wait := d.ahead(t)
 	for i := range t.lanes {
 		for len(t.lanes[i]) > 0 && d.spent(t.lanes[i][0]) {
-			d.finish(t.lanes[i][0])
+			d.finish(t.lanes[i][0], true)
 		}
 		if len(t.lanes[i]) == 0 {
 			continue
@@ -486,7 +464,7 @@
 
 // sick tells that a destination fails or is slow.
 func (t *dest) sick() bool {
-	return t.lat.mean > slowFactor*t.base || slices.ContainsFunc(t.eps, func(ep *endpoint) bool { return ep.suspect })
+	return t.lat.mean > slowFactor*t.base || slices.ContainsFunc(t.eps, doubted)
 }
 
 // room is the window in force: failing and slow destinations share half of the slots among them all, so
@@ -553,7 +531,7 @@
 	case e.Closed || m.ended || e.Result == OK:
 		d.end(m)
 	case d.spent(m) || d.now+2*d.set.Tick >= m.deadline:
-		d.finish(m)
+		d.finish(m, true)
 	default:
 		d.hold(m)
 	}
@@ -575,7 +553,7 @@
 		return
 	}
 	t := c.ep.dest
-	t.acc += (d.now - c.sent).seconds() / share(t)
+	t.acc += (d.now - c.sent).seconds() / t.share
 	d.revise(t, e.Result)
 	d.busy--
 	t.w--
@@ -587,7 +565,9 @@
 
 func (d *Dispatcher) learn(c *call, e *Event) {
 	ep, t := c.ep, c.ep.dest
-	d.reported(ep, e.Report)
+	if i := d.set.ReportLimit; i >= 0 && i < len(e.Report) && e.Report[i] > 0 {
+		ep.pace.bound = float64(e.Report[i])
+	}
 	switch e.Result {
 	case OK:
 		d.sample(t, float64(e.Lag))
@@ -596,8 +576,7 @@
 		ep.heard = d.now
 		d.refused(ep, c, e.Wait)
 	case ConnectFailed:
-		// It may be an outage or that its connections are all taken, idle ones too. Those of many senders fill a
-		// table that holds the calls of one: they are closed for a while.
+		// An outage, or all its connections are taken. Idle ones of many senders fill a table made for calls.
 		if d.set.Instances > d.set.Slots {
 			t.kind.scarce = d.now + scarceFor
 		}
@@ -649,7 +628,7 @@
 	p := ep.pace
 	p.ok.add(d.now, 1)
 	d.lost += lostGain * (leastLost - d.lost)
-	if p.allow > 0 {
+	if p.allow < unfelt {
 		p.allow += allowOK * min(1, (d.now-max(p.okAt, p.cutAt)).seconds())
 	}
 	if k := ep.dest.kind; c.idle > 0 {
@@ -675,8 +654,8 @@
 }
 
 // returned judges what a suspect's first answer tells. After an outage it came back at some moment since the
-// last failure, in the mean half way: what many senders so reckon adds up to its real warmth. A single failure
-// that the next call does not bear out was a lost answer, a reaped connection or a want of connections.
+// last failure, in the mean half way: what many senders reckon so adds up to its real warmth. A failure that
+// the next call does not bear out was a lost answer or a dropped connection.
 func (d *Dispatcher) returned(ep *endpoint, c *call) {
 	gone := d.now - ep.downAt
 	switch {
@@ -707,11 +686,11 @@
 func (d *Dispatcher) chill(ep *endpoint, back Time) {
 	ep.coldAt, ep.push = back, d.random()
 	ep.dest.demand.credit(d.now, &ep.past)
+	d.note(ep.dest, "is back, cold: its calls rise over the warm-up")
 }
 
-// failed counts calls that met nobody or silence; only one sent after the last failure was known is new evidence.
-// One is enough to stop feeding, since a sender with little traffic may see no second before the endpoint
-// returns: single trials find out, the first one at once.
+// failed counts calls that met nobody or silence; only one sent after the last failure was known is new
+// evidence. One is enough to stop feeding: a sender with little traffic may see no second before the return.
 func (d *Dispatcher) failed(ep *endpoint, c *call, proven bool) {
 	if c.sent >= ep.failedAt {
 		ep.bad++
@@ -755,19 +734,8 @@
 		pause := min(base<<min(p.streak-1, 6), backoffMost)
 		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
 	}
-	if p.allow == 0 {
-		p.allow = 1
-	}
-	p.allow *= allowCut
+	p.allow = max(min(p.allow, 1)*allowCut, leastAllow)
 	p.tokens = min(p.tokens, d.random()) // retries, too, stay within the share
-	p.allow = max(p.allow, leastAllow)
-}
-
-// reported takes the bounds that answers tell.
-func (d *Dispatcher) reported(ep *endpoint, report []float32) {
-	if i := d.set.ReportLimit; i >= 0 && i < len(report) && report[i] > 0 {
-		ep.pace.bound = float64(report[i])
-	}
 }
 
 // ---- connections ----
@@ -777,13 +745,13 @@
 	return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep)))
 }
 
-// leave closes what this round left idle at endpoints of kinds where connections are scarce, hundreds of senders
-// each keeping one being enough to fill a table. It could hurt by handshakes where the failure was an outage.
+// leave closes what this round left idle where connections are scarce. Guards against tables filled by the
+// idle connections of many senders. It could hurt by handshakes, where the failed connect was an outage.
 func (d *Dispatcher) leave() {
 	for _, ep := range d.left {
-		if len(ep.calls) == 0 && ep.conns > 0 && d.now < ep.dest.kind.scarce {
+		if len(ep.calls) == 0 && ep.open && d.now < ep.dest.kind.scarce {
 			d.out = append(d.out, Action{Kind: Close, Endpoint: ep.id})
-			ep.conns = 0
+			ep.open = false
 		}
 	}
 	d.left = d.left[:0]
@@ -792,7 +760,7 @@
 // freshen closes connections idle for longer than is known to be safe before a call goes out on one, and
 // tells how long the one that is used was idle. Guards against connections that were dropped unseen.
 func (d *Dispatcher) freshen(ep *endpoint) Time {
-	if len(ep.calls) > 0 || ep.conns == 0 {
+	if len(ep.calls) > 0 || !ep.open {
 		return 0
 	}
 	idle := d.now - ep.used
@@ -802,15 +770,15 @@
 	if idle < d.set.ConnIdle {
 		d.out = append(d.out, Action{Kind: Close, Endpoint: ep.id})
 	}
-	ep.conns = 0
+	ep.open = false
 	return 0
 }
 
 // ---- health ----
 
-// watch judges calls still out by their age and gives up those that are stuck: overtaken by later ones or at a
-// suspect. Their messages go again where their class allows it; others are given up, and fail, only where
-// messages are held for want of slots. Guards against hangs, lost answers and calls on dead connections.
+// watch judges calls still out by their age and gives up those overtaken by later ones or at a suspect: those
+// whose messages can go again, others only where messages wait for slots. Guards against hangs, lost answers
+// and dead connections. It could hurt a slow destination, where work is done twice; trials wait longer.
 func (d *Dispatcher) watch(t *dest) {
 	if t.w == 0 {
 		return
@@ -825,16 +793,17 @@
 			ep.downAt = min(ep.downAt, max(old.sent, ep.heard))
 		}
 		for _, c := range ep.calls {
-			age := float64(d.now - c.sent)
-			patience := float64(limit) * (stuckAfter - min(1, sureLost*d.lost))
+			// Where answers get lost or messages wait for slots one silence is enough.
+			age, once := float64(d.now-c.sent)/float64(limit), min(1, sureLost*d.lost)
+			patience := stuckAfter - once
 			if d.short {
-				patience = float64(limit)
+				patience = 1
 			}
 			if c.trial {
-				patience = float64(limit) * float64(1+min(ep.bad, failStreak))
+				patience = float64(1 + min(ep.bad, failStreak))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
-				d.recall(c, d.short && age > patience*(stuckAfter-min(1, sureLost*d.lost)))
+				d.recall(c, d.short && age > patience*(stuckAfter-once))
 			}
 		}
 	}
@@ -886,43 +855,35 @@
 	if ep.zone != d.set.Zone {
 		v++
 	}
-	if d.now-ep.used > d.keep(ep.dest) || len(ep.calls) >= ep.conns*d.streams() {
+	if len(ep.calls) == 0 && (!ep.open || d.now-ep.used > d.keep(ep.dest)) {
 		v++
 	}
 	return v
 }
 
-func (d *Dispatcher) streams() int { return max(1, d.set.StreamsPerConn) }
-
 // paced tells whether the allowed share of the demand and the ramp leave room for one more call.
 func (d *Dispatcher) paced(ep *endpoint) bool {
 	p, t := ep.pace, ep.dest
-	credit := 1.0
+	credit, gone := 1.0, (d.now - p.at).seconds()
 	want := t.demand.credit(d.now, &p.past)
-	want += t.kind.again * t.kind.again * float64(t.held) * (d.now - p.at).seconds() / (heldAims * d.aim.seconds())
+	want += t.kind.again * t.kind.again * float64(t.held) * gone / (heldAims * d.aim.seconds())
 	if p.bound > 0 {
-		credit = p.bound * (d.now - p.at).seconds()
+		credit = p.bound * gone
 	}
-	if p.allow > 0 {
-		// So much for each message of the own demand, but not faster than in the time of two a second.
-		p.allow += allowRise * min(want, 2*(d.now-p.at).seconds())
-		if p.allow > allowForget {
-			p.allow = 0
-		} else {
-			credit = min(credit, p.allow*want)
-		}
+	if p.allow < unfelt {
+		p.allow += allowRise * min(want, 2*gone)
+		credit = min(credit, p.allow*want)
 	}
 	p.at = d.now
 	p.tokens = min(p.tokens+credit, max(1, rateBurst*p.allow*t.demand.rate(d.now), rateBurst*p.bound))
 	return p.tokens >= 1 && d.warm(ep)
 }
 
-// warm holds a suspect, and one back from an outage, to the own demand times its warmth. Each sender goes by
-// its own part of the demand, so that all together stay within what a cold destination can do however many
-// they are; where each starts within its first call is drawn. Guards against pushing a cold endpoint over, with
-// other senders doing the same. It could hurt a wrongly suspected one, which is used less for the warm-up.
+// warm holds a suspect, and one back from an outage, to the own demand times its warmth, with a drawn start,
+// so that all senders together stay within what a cold destination can do however many they are. Guards
+// against pushing it over. It could hurt a wrongly suspected one, which is used less for the warm-up.
 func (d *Dispatcher) warm(ep *endpoint) bool {
-	var warmth float64
+	warmth := d.warmth(d.now-ep.coldAt) * rampMargin
 	switch {
 	case ep.suspect && !d.sure(ep):
 		return true // the trial that makes sure
@@ -930,20 +891,12 @@
 		warmth = d.warmth((d.now - ep.failedAt) / doubtFade)
 	case ep.coldAt == 0:
 		return true
-	default:
-		warmth = d.warmth(d.now - ep.coldAt)
 	}
 	if warmth >= 1 {
 		ep.coldAt = 0
 		return true
 	}
-	n := 0
-	for _, o := range ep.dest.eps {
-		if o.health == Ready {
-			n++
-		}
-	}
-	part := warmth * rampMargin / float64(max(n, 1))
+	part := warmth / float64(max(ep.dest.ready(), 1))
 	ep.push = min(ep.push+part*ep.dest.demand.credit(d.now, &ep.past), 1)
 	return ep.push >= 1
 }
@@ -955,123 +908,31 @@
 
 // ---- the endpoint list ----
 
-// dest returns a destination, making it when it is first heard of.
-func (d *Dispatcher) dest(no int) *dest {
-	t := d.byNo[no]
-	if t == nil {
-		t = &dest{no: no, batch: 1, starting: true, lanes: make([][]*message, 2*len(d.set.Classes)), kind: d.kind(0)}
-		t.pace = d.newPace()
-		t.demand = meter{tau: demandTau, at: d.now, t0: d.now}
-		d.byNo[no] = t
-		d.dests = append(d.dests, t)
+// started gives a destination without calls yet its first window: a fair share of the slots.
+func (d *Dispatcher) started(t *dest) {
+	if t.starting && t.ends == 0 {
 		t.wmax = max(1, d.set.Slots/len(d.dests))
 	}
-	t.seen = d.now
-	return t
 }
 
-// kind returns what the destinations of a kind have in common.
-func (d *Dispatcher) kind(n int) *kind {
-	for len(d.kinds) <= n {
-		d.kinds = append(d.kinds, &kind{keep: 2 * d.set.ConnIdle, again: 0.3})
-	}
-	return d.kinds[n]
-}
-
-// list takes a new endpoint list; what a whole list leaves out is gone.
-func (d *Dispatcher) list(e *Event) {
-	if e.ListKind == ListFailed {
-		return
-	}
-	if e.ListKind != ListDelta {
-		for _, t := range d.dests {
-			for _, ep := range t.eps {
-				ep.health = Gone
-			}
-		}
-	}
-	for i := range e.Entries {
-		d.entry(&e.Entries[i])
-	}
-	for _, t := range d.dests {
-		if t.starting && t.ends == 0 {
-			t.wmax = max(1, d.set.Slots/len(d.dests))
-		}
+// joined judges an endpoint new to the list: one that joins a destination which is all down or cold shares
+// its fate, as the held messages must not be dumped on it.
+func (d *Dispatcher) joined(t *dest, ep *endpoint) {
+	if slices.ContainsFunc(t.eps, ill) && !slices.ContainsFunc(t.eps, well) {
+		d.chill(ep, d.now)
 	}
 }
 
-func (d *Dispatcher) entry(n *Entry) {
-	t := d.dest(n.Dest)
-	apart := false
-	if n.Kind >= 0 && n.Kind < len(d.set.Kinds) {
-		t.kind = d.kind(n.Kind)
-		t.batch, apart = d.set.Kinds[n.Kind].Batch, d.set.Kinds[n.Kind].RoutesApart
-	}
-	ep := d.byID[n.Endpoint]
-	if ep == nil {
-		ep = &endpoint{id: n.Endpoint, dest: t, pace: t.pace}
-		if apart {
-			ep.pace = d.newPace()
-		}
-		d.byID[n.Endpoint] = ep
-	}
-	if !slices.Contains(t.eps, ep) {
-		// One that joins a destination which is all down or cold shares its fate: the held messages must
-		// not be dumped on it.
-		if slices.ContainsFunc(t.eps, ill) && !slices.ContainsFunc(t.eps, well) {
-			d.chill(ep, d.now)
-		}
-		t.eps = append(t.eps, ep)
-	}
-	ep.zone, ep.health = n.Zone, n.Health
-	if n.Weight > 0 && d.set.Weights != WeightNone {
-		t.weight = n.Weight
-		bound := n.Weight
-		if d.set.Weights == WeightRough {
-			bound *= roughSlack
-		}
-		ep.pace.bound = bound
-	}
-}
-
-// tidy forgets what is of no more use: gone endpoints without calls, unlisted destinations and keys at rest.
-// A wait binds until it is over; so do a drain, while calls are out, and a key's rest.
-func (d *Dispatcher) tidy() {
-	for _, t := range d.dests {
-		t.eps = slices.DeleteFunc(t.eps, func(ep *endpoint) bool {
-			old := ep.health == Gone && len(ep.calls) == 0 && ep.pace.wait <= d.now
-			if old {
-				delete(d.byID, ep.id)
-			}
-			return old
-		})
-	}
-	d.dests = slices.DeleteFunc(d.dests, func(t *dest) bool {
-		old := len(t.eps) == 0 && !t.live && t.pace.wait <= d.now && d.now-t.seen > tidyEvery
-		if old {
-			delete(d.byNo, t.no)
-		}
-		return old
-	})
-	d.resting = slices.DeleteFunc(d.resting, func(k *keyTurn) bool {
-		if len(k.queue) > 0 {
-			return true // in use again; it comes back when its queue runs empty
-		}
-		if k.rest <= d.now {
-			delete(d.keys, k.key)
-		}
-		return k.rest <= d.now
-	})
-}
-
-func well(ep *endpoint) bool { return ep.health == Ready && !ep.suspect && ep.coldAt == 0 }
-
-func ill(ep *endpoint) bool { return ep.suspect || ep.coldAt != 0 }
+func doubted(ep *endpoint) bool { return ep.suspect }
+func ill(ep *endpoint) bool     { return ep.suspect || ep.coldAt != 0 }
+func well(ep *endpoint) bool    { return ep.health == Ready && !ill(ep) }
 
-// share is the listed weight of a destination, else 1.
-func share(t *dest) float64 {
-	if t.weight <= 0 {
-		return 1
+// listed takes the rate that a destination is listed with, for all senders, as a bound.
+func (d *Dispatcher) listed(ep *endpoint, weight float64) {
+	switch d.set.Weights {
+	case WeightNominal:
+		ep.pace.bound = weight
+	case WeightRough:
+		ep.pace.bound = roughSlack * weight
 	}
-	return t.weight
 }
--- a/control/state.go
+++ b/control/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 )
@@ -37,9 +38,10 @@
 
 // keyTurn orders the messages that share a key.
 type keyTurn struct {
-	key   uint64
-	queue []*message
-	rest  Time
+	key    uint64
+	queue  []*message
+	rest   Time
+	parked bool // in the list of those at rest
 }
 
 // endpoint is a place to send to, with its own health.
@@ -50,7 +52,7 @@
 	health              Health
 	pace                *pace
 	calls               []*call // out, oldest first
-	conns               int     // connections thought open
+	open                bool    // a connection is thought open
 	used, heard, okSent Time    // last use; last answer; send time of the newest call answered ok
 	bad, errs           int     // calls in a row that met nobody or silence; answers in a row that were errors
 	suspect, proven     bool    // not fed; its last failure proved that calls do not run
@@ -82,7 +84,7 @@
 // pace is what bounds the rate to a destination, or to one route where routes are apart.
 type pace struct {
 	wait, at, cutAt, okAt, fullSince Time    // wait is told, or our own backoff
-	allow, bound, tokens             float64 // share of the own demand let go, 0 all; listed or reported rate
+	allow, bound, tokens             float64 // share of the own demand let go; listed or reported rate
 	past                             float64 // demand seen when the tokens were reckoned
 	streak                           int
 	ok                               meter
@@ -96,8 +98,8 @@
 	pace          *pace
 	batch         int
 	live          bool // in the list of those with messages held or out
-	seen          Time
-	weight, acc   float64
+	open          int  // messages owed an answer
+	share, acc    float64
 	lanes         [][]*message // by class and over-share, oldest first
 	held          int
 	w, wmax       int
@@ -176,6 +178,16 @@
 	return slices.ContainsFunc(ep.calls, func(c *call) bool { return c.trial })
 }
 
+// ready counts the endpoints listed ready.
+func (t *dest) ready() (n int) {
+	for _, ep := range t.eps {
+		if ep.health == Ready {
+			n++
+		}
+	}
+	return n
+}
+
 // random returns a number from 0 to 1, from the seed alone.
 func (d *Dispatcher) random() float64 {
 	d.rng ^= d.rng << 13
@@ -185,7 +197,125 @@
 }
 
 func (d *Dispatcher) newPace() *pace {
-	return &pace{at: d.now, tokens: 1, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
+	return &pace{at: d.now, tokens: 1, allow: unfelt, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
 }
 
 func byAim(m *message, at Time) int { return cmp.Compare(m.born+m.class.Aim, at) }
+
+// worth is what delivering the message at t would earn.
+func (d *Dispatcher) worth(m *message, t Time) float64 {
+	c, v := m.class, m.class.Worth
+	if m.over {
+		v *= d.set.OverShare
+	}
+	late := t - m.born - c.Aim
+	switch {
+	case t >= m.deadline:
+		return 0
+	case late <= 0:
+		return v
+	case d.set.LateHalving:
+		return v * max(c.LateWorth, math.Exp2(-float64(late)/float64(max(c.Aim, 1))))
+	}
+	return v * (1 - (1-c.LateWorth)*float64(late)/float64(max(c.Deadline-c.Aim, 1)))
+}
+
+// tidy forgets what is of no more use: gone endpoints without calls, unlisted destinations and keys at rest.
+// A told wait binds until it is over, a drain while calls are out, and a key's rest while it lasts.
+func (d *Dispatcher) tidy() {
+	for _, t := range d.dests {
+		t.eps = slices.DeleteFunc(t.eps, func(ep *endpoint) bool {
+			old := ep.health == Gone && len(ep.calls) == 0 && ep.pace.wait <= d.now
+			if old {
+				delete(d.byID, ep.id)
+			}
+			return old
+		})
+	}
+	d.dests = slices.DeleteFunc(d.dests, func(t *dest) bool {
+		old := len(t.eps) == 0 && t.open == 0 && t.w == 0 && t.pace.wait <= d.now
+		if old {
+			delete(d.byNo, t.no)
+		}
+		return old
+	})
+	d.resting = slices.DeleteFunc(d.resting, func(k *keyTurn) bool {
+		old := len(k.queue) == 0 && k.rest <= d.now
+		if old {
+			delete(d.keys, k.key)
+		}
+		return old
+	})
+}
+
+// note tells the operators something, if nothing else was told lately.
+func (d *Dispatcher) note(t *dest, what string) {
+	if d.now >= d.noteAt {
+		d.noteAt = d.now + noteEvery
+		d.out = append(d.out, Action{Kind: Note, Text: fmt.Sprintf("destination %d %s", t.no, what)})
+	}
+}
+
+// dest returns a destination, making it when it is first heard of.
+func (d *Dispatcher) dest(no int) *dest {
+	t := d.byNo[no]
+	if t == nil {
+		t = &dest{no: no, batch: 1, share: 1, starting: true, lanes: make([][]*message, 2*len(d.set.Classes))}
+		t.kind = d.kinds[0]
+		t.pace = d.newPace()
+		t.demand = meter{tau: demandTau, at: d.now, t0: d.now}
+		d.byNo[no] = t
+		d.dests = append(d.dests, t)
+		d.started(t)
+	}
+	return t
+}
+
+// list takes a new endpoint list; what a whole list leaves out is gone.
+func (d *Dispatcher) list(e *Event) {
+	if e.ListKind == ListFailed {
+		return
+	}
+	if e.ListKind != ListDelta {
+		for _, t := range d.dests {
+			for _, ep := range t.eps {
+				ep.health = Gone
+			}
+		}
+	}
+	for i := range e.Entries {
+		d.entry(&e.Entries[i])
+	}
+	for _, t := range d.dests {
+		d.started(t)
+	}
+}
+
+func (d *Dispatcher) entry(n *Entry) {
+	t := d.dest(n.Dest)
+	apart := false
+	if n.Kind >= 0 && n.Kind < len(d.set.Kinds) {
+		t.kind = d.kinds[n.Kind]
+		t.batch, apart = d.set.Kinds[n.Kind].Batch, d.set.Kinds[n.Kind].RoutesApart
+	}
+	ep := d.byID[n.Endpoint]
+	if ep == nil {
+		ep = &endpoint{id: n.Endpoint, dest: t, pace: t.pace}
+		if apart {
+			ep.pace = d.newPace()
+		}
+		d.byID[n.Endpoint] = ep
+	}
+	if ep.dest != t {
+		return // an endpoint does not change its destination
+	}
+	if !slices.Contains(t.eps, ep) {
+		d.joined(t, ep)
+		t.eps = append(t.eps, ep)
+	}
+	ep.zone, ep.health = n.Zone, n.Health
+	if n.Weight > 0 && d.set.Weights != WeightNone {
+		t.share = n.Weight
+		d.listed(ep, n.Weight)
+	}
+}
