--- a/control/control.go
+++ b/control/control.go
@@ -696,6 +696,7 @@
 		ep.bad++
 		ep.failedAt, ep.proven, ep.dropped = d.now, proven, c.idle
 	}
+	ep.proven = ep.proven || proven // silence at first, then no connection: it was no lost answer
 	d.doubtful(ep, d.now)
 }
 
