Failing endpoints of a destination bear each other out

Cause: on a vanish each sender tried each endpoint of a destination twice before it was sure; a clump of messages, one a sender, tried four times and pushed the returning destination over (5.1 times what it could do).

--- a/control/control.go
+++ b/control/control.go
@@ -673,13 +673,19 @@
 	}
 }
 
-// sure tells that what failed in a row means an outage. Where answers get lost it takes more of them.
+// sure tells that what failed in a row means an outage, which mostly takes all endpoints of a destination: those
+// that fail now bear each other out. Where answers get lost it takes more of them.
 func (d *Dispatcher) sure(ep *endpoint) bool {
-	n := sureAfter
+	n, bad := sureAfter, 0
 	if !ep.proven {
 		n += int(sureLost * d.lost)
 	}
-	return ep.bad >= n || ep.errs >= failStreak
+	for _, o := range ep.dest.eps {
+		if o.suspect && o.pace == ep.pace {
+			bad += o.bad
+		}
+	}
+	return bad >= n || ep.errs >= failStreak
 }
 
 // chill starts an endpoint's ramp, as if it had come back at the moment given.
