--- a/control/control.go
+++ b/control/control.go
@@ -57,8 +57,7 @@
 	stuckAfter  = 2                 // silences after which a call is given up
 	openReserve = 16                // one part in so many of max-open is kept free for better messages
 	wakeTicks   = 4                 // ticks between looks at the clock while anything is held or out
-	tidyEvery   = 10 * Second       // state without use is looked for so often
-	noteEvery   = 10 * Second       // lines for the operators are so far apart at least
+	seldom      = 10 * Second       // how often state without use is looked for and operators are told something
 )
 
 // Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
@@ -82,7 +81,7 @@
 	count, round uint64
 	tenants      []meter
 	all          meter
-	quota        float64
+	quota, slack float64 // messages a second within all shares; factor on a listed rate
 	lost         float64 // share of answers that get lost
 	short        bool    // messages wait for want of slots
 }
@@ -97,6 +96,9 @@
 		msgs: map[MessageID]*message{}, keys: map[uint64]*keyTurn{}, byNo: map[int]*dest{},
 		byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)),
 	}
+	if d.slack = 1; s.Weights == WeightRough {
+		d.slack = roughSlack
+	}
 	for _, t := range s.Tenants {
 		d.quota += t.Quota
 	}
@@ -129,7 +131,7 @@
 	d.dispatch()
 	d.leave()
 	d.shed()
-	if now-d.tidied >= tidyEvery {
+	if now-d.tidied >= seldom {
 		d.tidied = now
 		d.tidy()
 	}
@@ -151,7 +153,7 @@
 		if m := d.msgs[e.Message]; m != nil {
 			d.end(m)
 		}
-	case Tick:
+	case Tick: // the message's time is nearly up
 		if m := d.msgs[MessageID(e.Mark-1)]; e.Mark > 0 && m != nil && !m.ended {
 			d.finish(m, true)
 		}
@@ -232,13 +234,13 @@
 func (d *Dispatcher) hold(m *message) {
 	t := m.dest
 	if t.held == 0 {
-		least := math.Inf(1)
+		t.acc = math.Inf(1)
 		for _, o := range d.live {
 			if o != t && (o.held > 0 || o.w > 0) {
-				least = min(least, o.acc)
+				t.acc = min(t.acc, o.acc)
 			}
 		}
-		if t.acc = least; math.IsInf(least, 1) {
+		if math.IsInf(t.acc, 1) {
 			t.acc = 0
 		}
 	}
@@ -282,9 +284,8 @@
 	}
 }
 
-// shed keeps room below max-open by handing back what is worth least, from the lanes' two ends.
-// Guards against overload and long outages filling the hold, where better messages would be turned
-// away unseen. It could hurt where an outage ends just after: the reserve is kept small for that.
+// shed keeps room below max-open by handing back what is worth least, from the lanes' two ends. Guards
+// against overload and outages filling the hold. It could hurt just before an outage ends.
 func (d *Dispatcher) shed() {
 	for d.open > d.set.MaxOpen-d.set.MaxOpen/openReserve-1 {
 		var worst *message
@@ -299,8 +300,7 @@
 				for _, m := range [2]*message{l[len(l)-1], l[0]} {
 					if !d.refusable(m) {
 						continue
-					}
-					if v := d.worth(m, d.now+ahead) * min(1, t.pace.allow); v < least {
+					} else if v := d.worth(m, d.now+ahead) * min(1, t.pace.allow); v < least {
 						worst, least = m, v
 					}
 				}
@@ -352,18 +352,21 @@
 	}
 	c := &call{ep: ep, sent: d.now, trial: trial, idle: d.freshen(ep)}
 	for n := t.batch; m != nil && n > 0; n-- {
-		d.launch(m, c)
+		t.drop(m)
+		m.out = c
+		m.tries++
+		c.msgs = append(c.msgs, m)
+		a := Action{Kind: Send, Message: m.id, Endpoint: ep.id}
+		if !d.set.MayCancel && m.class.Effect != SingleShot {
+			a.After = stuckAfter * d.silence(t)
+		}
+		d.out = append(d.out, a)
 		if trial {
 			break
 		}
 		m = d.head(t, ep, false)
 	}
-	d.opened(t, ep, c)
-	return true
-}
-
-// opened accounts for a call that has just gone out.
-func (d *Dispatcher) opened(t *dest, ep *endpoint, c *call) {
+	c.left = len(c.msgs)
 	d.busy++
 	t.w++
 	ep.calls = append(ep.calls, c)
@@ -374,20 +377,7 @@
 		ep.trialAt = d.now + ep.trialGap + Time(d.random()*float64(ep.trialGap)/4)
 		ep.trialGap = min(Time(float64(ep.trialGap)*trialGrow), trialMost)
 	}
-}
-
-// launch sends one message as part of call c.
-func (d *Dispatcher) launch(m *message, c *call) {
-	m.dest.drop(m)
-	m.out = c
-	m.tries++
-	c.msgs = append(c.msgs, m)
-	c.left++
-	a := Action{Kind: Send, Message: m.id, Endpoint: c.ep.id}
-	if !d.set.MayCancel && m.class.Effect != SingleShot {
-		a.After = stuckAfter * d.silence(m.dest)
-	}
-	d.out = append(d.out, a)
+	return true
 }
 
 // gate is the one place that permits a send; every rule that binds sends is here.
@@ -427,7 +417,9 @@
 		l := t.lanes[i]
 		fresh, _ := slices.BinarySearchFunc(l, soon, byAim)
 		for _, m := range [2]*message{l[0], l[min(fresh, len(l)-1)]} {
-			if trial && !harmless(m, ep) || !d.gate(m, ep) {
+			// A doubtful unsafe one could only fail: trials risk it after proof that calls do not run, or when rare.
+			risky := m.class.Effect == SingleShot && !ep.proven && ep.trialGap < trialMost
+			if trial && risky || !d.gate(m, ep) {
 				continue
 			}
 			now := d.worth(m, soon)
@@ -445,12 +437,6 @@
 	return min(max(wait, leastAhead), mostAhead)
 }
 
-// harmless tells whether a trial may risk the message: a doubtful unsafe one could only fail, so it goes
-// when the last failure proved that calls do not run, or when trials have become rare.
-func harmless(m *message, ep *endpoint) bool {
-	return m.class.Effect != SingleShot || ep.proven || ep.trialGap >= trialMost
-}
-
 // spent tells that no attempt can ever be made again.
 func (d *Dispatcher) spent(m *message) bool {
 	if m.tries >= d.set.MaxTries || m.doubt && m.class.Effect == SingleShot {
@@ -460,7 +446,7 @@
 }
 
 // ceiling is the most calls out to one destination: under three quarters of the slots.
-func (d *Dispatcher) ceiling(t *dest) int { return max(1, (3*d.set.Slots+3)/4-1) }
+func (d *Dispatcher) ceiling() int { return max(1, (3*d.set.Slots+3)/4-1) }
 
 // sick tells that a destination fails or is slow.
 func (t *dest) sick() bool {
@@ -471,7 +457,7 @@
 // that two of them cannot hold two slots of two.
 func (d *Dispatcher) room(t *dest) int {
 	if !t.sick() {
-		return max(1, min(t.wmax, d.ceiling(t)))
+		return max(1, min(t.wmax, d.ceiling()))
 	}
 	most := max(1, d.set.Slots/2)
 	for _, o := range d.live {
@@ -479,7 +465,7 @@
 			most -= o.w
 		}
 	}
-	return min(t.wmax, most, d.ceiling(t))
+	return min(t.wmax, most, d.ceiling())
 }
 
 // revise is the window's completion test; w still counts the call that ended.
@@ -492,19 +478,17 @@
 		t.badEnds++
 	}
 	t.ends++
-	if t.starting {
-		t.wmax = min(t.wmax+1, d.ceiling(t))
+	clean := float64(t.badEnds) <= cleanShare*float64(t.ends)
+	switch {
+	case t.starting:
+		t.wmax = min(t.wmax+1, d.ceiling())
 		return
-	}
-	if t.ends < fairF*t.wmax {
+	case t.ends < fairF*t.wmax:
 		return
-	}
-	if t.w >= t.wmax {
-		if float64(t.badEnds) <= cleanShare*float64(t.ends) {
-			t.wmax = min(t.wmax+1, d.ceiling(t))
-		} else {
-			t.wmax = max(t.wmax-1, 1)
-		}
+	case t.w >= t.wmax && clean:
+		t.wmax = min(t.wmax+1, d.ceiling())
+	case t.w >= t.wmax:
+		t.wmax = max(t.wmax-1, 1)
 	}
 	t.ends, t.badEnds = 0, 0
 }
@@ -557,8 +541,7 @@
 	d.revise(t, e.Result)
 	d.busy--
 	t.w--
-	i := slices.Index(c.ep.calls, c)
-	c.ep.calls = slices.Delete(c.ep.calls, i, i+1)
+	c.ep.calls = slices.DeleteFunc(c.ep.calls, func(o *call) bool { return o == c })
 	c.ep.used = d.now
 	d.left = append(d.left, c.ep)
 }
@@ -673,7 +656,7 @@
 	}
 }
 
-// sure tells that what failed in a row means an outage, which mostly takes all endpoints of a destination: those
+// sure tells that what failed in a row means an outage. It mostly takes all endpoints of a destination: those
 // that fail now bear each other out. Where answers get lost it takes more of them.
 func (d *Dispatcher) sure(ep *endpoint) bool {
 	n, bad := sureAfter, 0
@@ -696,35 +679,27 @@
 }
 
 // failed counts calls that met nobody or silence; only one sent after the last failure was known is new
-// evidence. One is enough to stop feeding: a sender with little traffic may see no second before the return.
+// evidence. One is enough to hold messages back and send single trials, as a sender with little traffic may
+// see no second. Guards against crashes, silence, hangs and floods of errors. It could hurt at rare answers.
 func (d *Dispatcher) failed(ep *endpoint, c *call, proven bool) {
 	if c.sent >= ep.failedAt {
 		ep.bad++
 		ep.failedAt, ep.proven, ep.dropped = d.now, proven, c.idle
 	}
 	ep.proven = ep.proven || proven // silence at first, then no connection: it was no lost answer
-	d.doubtful(ep, d.now)
-}
-
-// doubtful stops feeding an endpoint: its messages are held and single spaced trials find out.
-// Guards against crashes, silence, hangs and floods of errors alike. It could hurt at an endpoint whose
-// answers are merely rare and slow: any ok lifts it at once.
-func (d *Dispatcher) doubtful(ep *endpoint, since Time) {
 	if ep.suspect {
 		return
 	}
-	ep.suspect, ep.downAt, ep.push = true, since, d.random()
+	ep.suspect, ep.downAt, ep.push = true, d.now, d.random()
 	ep.dest.demand.credit(d.now, &ep.past)
-	ep.trialGap = d.silence(ep.dest)
-	ep.trialAt = d.now
-	if ep.proven {
+	if ep.trialAt, ep.trialGap = d.now, d.silence(ep.dest); ep.proven {
 		ep.trialAt += Time(d.random() * float64(ep.trialGap))
 	}
 }
 
 // refused learns from a refusal: waits are kept, a smaller share of the own demand is let go.
 func (d *Dispatcher) refused(ep *endpoint, c *call, wait Time) {
-	p := ep.pace
+	p, k := ep.pace, ep.dest.kind
 	if p.fullSince == 0 {
 		p.fullSince = d.now
 	}
@@ -733,7 +708,7 @@
 	}
 	p.cutAt = d.now
 	if p.streak++; p.streak > 1 {
-		ep.dest.kind.again -= lostGain * ep.dest.kind.again
+		k.again -= lostGain * k.again
 	}
 	want := ep.dest.demand.rate(d.now)
 	if wait == 0 {
@@ -767,14 +742,12 @@
 // freshen closes connections idle for longer than is known to be safe before a call goes out on one, and
 // tells how long the one that is used was idle. Guards against connections that were dropped unseen.
 func (d *Dispatcher) freshen(ep *endpoint) Time {
+	idle := d.now - ep.used
 	if len(ep.calls) > 0 || !ep.open {
 		return 0
-	}
-	idle := d.now - ep.used
-	if idle <= d.keep(ep.dest) && ep.dropped == 0 {
+	} else if idle <= d.keep(ep.dest) && ep.dropped == 0 {
 		return idle
-	}
-	if idle < d.set.ConnIdle {
+	} else if idle < d.set.ConnIdle {
 		d.out = append(d.out, Action{Kind: Close, Endpoint: ep.id})
 	}
 	ep.open = false
@@ -803,11 +776,11 @@
 			// Where answers get lost or messages wait for slots one silence is enough.
 			age, once := float64(d.now-c.sent)/float64(limit), min(1, sureLost*d.lost)
 			patience := stuckAfter - once
-			if d.short {
-				patience = 1
-			}
-			if c.trial {
+			switch {
+			case c.trial:
 				patience = float64(1 + min(ep.bad, failStreak))
+			case d.short:
+				patience = 1
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
 				d.recall(c, d.short && age > patience*(stuckAfter-once))
@@ -933,13 +906,3 @@
 func doubted(ep *endpoint) bool { return ep.suspect }
 func ill(ep *endpoint) bool     { return ep.suspect || ep.coldAt != 0 }
 func well(ep *endpoint) bool    { return ep.health == Ready && !ill(ep) }
-
-// listed takes the rate that a destination is listed with, for all senders, as a bound.
-func (d *Dispatcher) listed(ep *endpoint, weight float64) {
-	switch d.set.Weights {
-	case WeightNominal:
-		ep.pace.bound = weight
-	case WeightRough:
-		ep.pace.bound = roughSlack * weight
-	}
-}
--- a/control/state.go
+++ b/control/state.go
@@ -251,7 +251,7 @@
 // note tells the operators something, if nothing else was told lately.
 func (d *Dispatcher) note(t *dest, what string) {
 	if d.now >= d.noteAt {
-		d.noteAt = d.now + noteEvery
+		d.noteAt = d.now + seldom
 		d.out = append(d.out, Action{Kind: Note, Text: fmt.Sprintf("destination %d %s", t.no, what)})
 	}
 }
@@ -316,6 +316,6 @@
 	ep.zone, ep.health = n.Zone, n.Health
 	if n.Weight > 0 && d.set.Weights != WeightNone {
 		t.share = n.Weight
-		d.listed(ep, n.Weight)
+		ep.pace.bound = n.Weight * d.slack
 	}
 }
