--- a/control/control.go
+++ b/control/control.go
@@ -433,8 +433,8 @@
 
 // ahead reckons how long the hold takes to be worked off.
 func (d *Dispatcher) ahead(t *dest) Time {
-	wait := Time(float64(t.held) / max(t.pace.ok.rate(d.now), leastFlow) * float64(Second))
-	return min(max(wait, leastAhead), mostAhead)
+	wait := float64(t.held) / max(t.pace.ok.rate(d.now), leastFlow) * float64(Second)
+	return min(max(Time(wait), leastAhead), mostAhead)
 }
 
 // spent tells that no attempt can ever be made again.
@@ -723,9 +723,7 @@
 // ---- connections ----
 
 // keep is the age up to which an idle connection is used.
-func (d *Dispatcher) keep(t *dest) Time {
-	return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep)))
-}
+func (d *Dispatcher) keep(t *dest) Time { return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep))) }
 
 // leave closes what this round left idle where connections are scarce. Guards against tables filled by the
 // idle connections of many senders. It could hurt by handshakes, where the failed connect was an outage.
