--- a/control/control.go
+++ b/control/control.go
@@ -62,28 +62,26 @@
 
 // Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
 type Dispatcher struct {
-	set          Settings
-	rng          uint64
-	aim          Time // the least aim of a class
-	now, wake    Time
-	tidied       Time
-	noteAt       Time
-	out          []Action
-	msgs         map[MessageID]*message
-	keys         map[uint64]*keyTurn
-	byNo         map[int]*dest
-	byID         map[Endpoint]*endpoint
-	resting      []*keyTurn
-	dests, live  []*dest // all; those with messages held or out
-	kinds        []*kind
-	left         []*endpoint // calls there ended in this round
-	busy, open   int         // slots taken; messages owed an answer
-	count, round uint64
-	tenants      []meter
-	all          meter
-	quota, slack float64 // messages a second within all shares; factor on a listed rate
-	lost         float64 // share of answers that get lost
-	short        bool    // messages wait for want of slots
+	set                       Settings
+	rng                       uint64
+	aim                       Time // the least aim of a class
+	now, wake, tidied, noteAt Time
+	out                       []Action
+	msgs                      map[MessageID]*message
+	keys                      map[uint64]*keyTurn
+	byNo                      map[int]*dest
+	byID                      map[Endpoint]*endpoint
+	resting                   []*keyTurn
+	dests, live               []*dest // all; those with messages held or out
+	kinds                     []*kind
+	left                      []*endpoint // calls there ended in this round
+	busy, open                int         // slots taken; messages owed an answer
+	count, round              uint64
+	tenants                   []meter
+	all                       meter
+	quota, slack              float64 // messages a second within all shares; factor on a listed rate
+	lost                      float64 // share of answers that get lost
+	short                     bool    // messages wait for want of slots
 }
 
 // New returns a Dispatcher, or an error that names the setting at fault.
@@ -723,7 +721,9 @@
 // ---- connections ----
 
 // keep is the age up to which an idle connection is used.
-func (d *Dispatcher) keep(t *dest) Time { return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep))) }
+func (d *Dispatcher) keep(t *dest) Time {
+	return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep)))
+}
 
 // leave closes what this round left idle where connections are scarce. Guards against tables filled by the
 // idle connections of many senders. It could hurt by handshakes, where the failed connect was an outage.
