--- /dev/null
+++ b/control/fleet_test.go
@@ -0,0 +1,228 @@
+package control
+
+import (
+	"testing"
+)
+
+// fleet makes dispatchers that differ only in their seeds, each told of the same endpoints.
+func fleet(t *testing.T, n int, set Settings, entries ...Entry) []*rig {
+	t.Helper()
+	set.Instances = n
+	rigs := make([]*rig, n)
+	for i := range rigs {
+		r := newRig(t, set, entries...)
+		r.d.rng += uint64(i) * 2862933555777941757
+		r.wait(20 * s) // the memory of the demand is filled
+		rigs[i] = r
+	}
+	return rigs
+}
+
+// Each of many senders with one held message saw two failed connections: what they try alone must add up to
+// a part of their demand, not to a trial each.
+func TestTrialsOfManySendersAddUpToAPartOfTheDemand(t *testing.T) {
+	const n = 60
+	sends := 0
+	for _, r := range fleet(t, n, testSettings(), entry(1, 0, 0)) {
+		r.want(r.at(0, r.msg(free, 1)), 1)
+		again := sent(append(r.at(s/50, done(1, 0, ConnectFailed)), r.wait(4*s)...))
+		if len(again) != 1 {
+			t.Fatalf("%d tries to make sure, want one", len(again))
+		}
+		sends += len(sent(append(r.at(s/50, done(1, 1, ConnectFailed)), r.wait(2*s)...)))
+	}
+	if sends > n/4 {
+		t.Errorf("%d trials of %d senders in two seconds", sends, n)
+	}
+	if sends == 0 {
+		t.Error("nobody tries")
+	}
+}
+
+// An outage mostly takes all endpoints of a destination: the second to fail makes sure, and neither is tried on.
+func TestFailingEndpointsBearEachOtherOut(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0), entry(1, 1, 0))
+	r.wait(20 * s)
+	r.want(r.at(0, r.msg(free, 1)), 1)
+	r.want(r.at(s/50, done(1, 0, ConnectFailed)), 1)
+	r.want(r.at(s/50, done(1, 1, ConnectFailed)))
+	if a, b := r.d.byID[ep(1, 0)], r.d.byID[ep(1, 1)]; !r.d.sure(a) || !r.d.sure(b) {
+		t.Error("two endpoints of one destination failed and the outage is not taken as sure")
+	}
+}
+
+// Where refused calls use up the limit, many senders retrying on their own would keep it at nothing for good.
+func TestRetriesAfterRefusalsStayWithinTheOwnDemand(t *testing.T) {
+	const n = 50
+	sends := 0
+	for _, r := range fleet(t, n, testSettings(), entry(1, 0, 0)) {
+		next := []Event{r.msg(free, 1)}
+		for end := r.now + 15*s; r.now < end; {
+			events := next
+			next = nil
+			for _, id := range sent(r.at(s/20, events...)) {
+				sends++
+				next = append(next, full(id, r.d.msgs[id].tries-1, 0))
+			}
+		}
+	}
+	if sends < n || sends > 2*n {
+		t.Errorf("%d attempts for %d messages in 15 s, all refused", sends, n)
+	}
+}
+
+// Where calls after refusals mostly go well, a held message has its turn again within some aims.
+func TestHeldMessagesGoAgainWhereRetriesGoWell(t *testing.T) {
+	for _, c := range []struct {
+		again float64
+		most  Time
+	}{{1, 8 * s}, {0.05, 0}} {
+		served := 0
+		for _, r := range fleet(t, 20, testSettings(), entry(1, 0, 0)) {
+			r.d.kinds[0].again = c.again
+			r.want(r.at(0, r.msg(free, 1)), 1)
+			r.at(s/10, full(1, 0, 0))
+			if got := sent(r.wait(8 * s)); len(got) > 0 {
+				served++
+			}
+		}
+		if c.again == 1 && served < 15 || c.again < 1 && served > 14 {
+			t.Errorf("record %v: %d of 20 went again within 8 s", c.again, served)
+		}
+	}
+}
+
+// A lost answer is no outage: the next call at once, no ramp, and silence is borne for less time from then on.
+func TestLostAnswersAreLearned(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0))
+	for range 20 {
+		r.want(r.at(s/2, r.msg(free, 1)), r.id)
+		r.at(s/10, done(r.id, 0, OK))
+	}
+	before := r.d.silence(r.d.byNo[1])
+	for range 6 {
+		r.want(r.at(s/2, r.msg(single, 1)), r.id)
+		lost := r.id
+		r.wait(s)
+		r.want(r.at(0, r.msg(free, 1)), r.id)
+		r.at(s/10, done(r.id, 0, OK))
+		r.at(0, done(lost, 0, Cancelled))
+		if e := r.d.byID[ep(1, 0)]; e.suspect || e.coldAt != 0 {
+			t.Fatalf("suspect %v, cold since %v after one lost answer", e.suspect, e.coldAt)
+		}
+	}
+	if after := r.d.silence(r.d.byNo[1]); r.d.lost < 0.2 || after >= before {
+		t.Errorf("share of lost answers %v, silence borne %v and %v before", r.d.lost, after, before)
+	}
+}
+
+// Clients of a sender with rare traffic would come again at others that know nothing of a limit.
+func TestShedMessagesAreFailedWhereALimitIsFeltAndTrafficIsRare(t *testing.T) {
+	for _, c := range []struct {
+		allow float64
+		want  ActionKind
+	}{{0.2, Fail}, {unfelt, Refuse}} {
+		set := testSettings()
+		set.MaxOpen = 3
+		r := newRig(t, set, entry(1, 0, 0))
+		r.wait(20 * s)
+		r.at(0, r.msg(free, 1))
+		r.at(s/10, full(1, 0, 100*s))
+		r.d.byNo[1].pace.allow = c.allow
+		acts := append(r.at(s/10, r.msg(free, 1)), r.at(s/10, r.msg(free, 1))...)
+		if len(acts) != 1 || acts[0].Kind != c.want {
+			t.Errorf("allowed share %v: %+v, want a single action %d", c.allow, acts, c.want)
+		}
+	}
+}
+
+// Two slots, two hung destinations: they must not hold both.
+func TestTwoHungDestinationsDoNotHoldTwoSlots(t *testing.T) {
+	set := testSettings()
+	set.Slots = 2
+	r := newRig(t, set, entry(1, 0, 0), entry(2, 0, 0), entry(3, 0, 0))
+	r.want(r.at(0, r.msg(single, 1)), 1)
+	r.wait(4 * s)
+	r.at(0, r.msg(single, 2))
+	r.wait(4 * s)
+	one, two := r.d.byNo[1], r.d.byNo[2]
+	if !one.sick() || !two.sick() {
+		t.Fatal("not both are taken as hung")
+	}
+	r.at(0, r.msg(free, 1), r.msg(free, 2), r.msg(free, 1), r.msg(free, 2))
+	r.wait(2 * s)
+	for _, a := range append(r.at(0, r.msg(free, 3)), r.wait(3*s)...) {
+		if a.Kind == Cancel {
+			r.want(r.at(0, done(a.Message, a.Attempt, Cancelled)), r.id)
+			return
+		}
+	}
+	t.Error("no slot is taken back for a message of a well destination")
+}
+
+// What is of no more use goes: endpoints replaced, destinations unlisted, keys that rested.
+func TestStateDoesNotGrow(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0))
+	for i := range 200 {
+		e := entry(1, i+2, 0)
+		o := entry(100+i, 0, 0)
+		r.at(0, Event{Kind: List, ListKind: ListFull, Entries: []Entry{e, o}})
+		m, n, k := r.msg(free, 1), r.msg(free, 100+i), r.keyed(uint64(1000+i))
+		acts := r.at(s/10, m, n, k)
+		for _, id := range sent(acts) {
+			res := OK
+			if id == k.Message {
+				res = Reset
+			}
+			r.at(s/50, done(id, 0, res))
+		}
+		r.at(s/50, Event{Kind: Withdrawn, Message: k.Message}, done(k.Message, 1, OK))
+		r.wait(s)
+	}
+	r.wait(2 * seldom)
+	d := r.d
+	if len(d.byID) > 2 || len(d.byNo) > 2 || len(d.dests) > 2 || len(d.msgs) > 0 || len(d.keys) > 0 || len(d.resting) > 0 {
+		t.Errorf("left: %d endpoints, %d/%d destinations, %d messages, %d/%d keys",
+			len(d.byID), len(d.byNo), len(d.dests), len(d.msgs), len(d.keys), len(d.resting))
+	}
+}
+
+// A key whose messages have all ended still rests, and those to come wait; a told wait outlives its endpoints.
+func TestRestAndWaitOutliveTheirMessages(t *testing.T) {
+	set := testSettings()
+	set.SettleAfterDoubt = 30 * s
+	r := newRig(t, set, entry(1, 0, 0))
+	r.want(r.at(0, r.keyed(9)), 1)
+	r.at(s/10, Event{Kind: Withdrawn, Message: 1}, done(1, 0, Reset))
+	r.wait(2 * seldom)
+	e := r.keyed(9)
+	e.Grace = 40 * s
+	r.want(append(r.at(0, e), r.wait(9*s)...))
+	if got := sent(r.wait(2 * s)); len(got) != 1 {
+		t.Errorf("after the rest sent %v", got)
+	}
+	r.at(0, done(2, 0, OK))
+	r.want(r.at(s, r.msg(free, 1)), 3)
+	gone := entry(1, 0, 0)
+	gone.Health = Gone
+	r.at(s/10, full(3, 0, 60*s), Event{Kind: List, Entries: []Entry{gone}})
+	r.wait(30 * s)
+	r.want(append(r.at(0, Event{Kind: List, Entries: []Entry{entry(1, 1, 0)}}, r.msg(free, 1)), r.wait(10*s)...))
+}
+
+func TestNotesAreRare(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0))
+	notes := 0
+	for range 40 {
+		r.d.chill(r.d.byID[ep(1, 0)], r.now)
+		r.now += s / 2
+		for _, a := range r.d.Step(r.now, nil, nil) {
+			if a.Kind == Note {
+				notes++
+			}
+		}
+	}
+	if notes > 3 {
+		t.Errorf("%d notes in 20 s", notes)
+	}
+}
--- /dev/null
+++ b/control/rules_test.go
@@ -0,0 +1,230 @@
+package control
+
+import (
+	"math/rand"
+	"testing"
+)
+
+// judge follows a Dispatcher from outside and holds what it does against the rules.
+type judge struct {
+	t     *testing.T
+	set   Settings
+	now   Time
+	msgs  map[MessageID]*judged
+	wait  map[int]Time      // until when a destination told to wait
+	ready map[Endpoint]bool // listed ready
+	calls map[[2]int64]int  // messages out by round and endpoint: one call
+	order map[uint64][]*judged
+	rest  map[uint64]Time
+	marks map[uint64]Time
+	out   []*judged
+}
+
+type judged struct {
+	id        MessageID
+	class     *Class
+	dest      int
+	key       uint64
+	deadline  Time
+	ended     bool
+	tries     int
+	ep        Endpoint
+	round     Time
+	out       bool
+	doubt     bool
+	doubtAt   Time
+	firstSent Time
+}
+
+func (j *judge) check(ok bool, m *judged, rule string) {
+	j.t.Helper()
+	if !ok {
+		j.t.Fatalf("at %d: %s: %+v", j.now, rule, *m)
+	}
+}
+
+func (j *judge) act(a Action) {
+	m := j.msgs[a.Message]
+	switch a.Kind {
+	case Timer:
+		if a.Mark != 0 {
+			j.marks[a.Mark] = j.now + a.After
+		}
+		return
+	case Note, Close:
+		return
+	}
+	if m == nil {
+		j.t.Fatalf("acts for a message never taken: %+v", a)
+	}
+	switch a.Kind {
+	case Refuse, Fail:
+		j.check(!m.ended, m, "a second final answer")
+		maybe := (m.doubt || m.out) && m.class.Effect != Free
+		j.check(a.Kind == Fail || !maybe || m.class.Effect == Guarded, m, "handed back though it may have run")
+		m.ended = true
+	case Send:
+		j.send(m, a)
+	}
+}
+
+func (j *judge) send(m *judged, a Action) {
+	j.check(!m.ended && !m.out, m, "sent though ended or out")
+	j.check(j.ready[a.Endpoint] && int(a.Endpoint)/10 == m.dest, m, "sent to an endpoint not listed ready")
+	j.check(j.now >= j.wait[m.dest], m, "sent during a told wait")
+	j.check(m.tries < j.set.MaxTries && j.now < m.deadline, m, "sent too often or too late")
+	if m.doubt {
+		j.check(m.class.Effect != SingleShot, m, "unsafe message sent again in doubt")
+		j.check(m.class.Effect == Free || j.now < m.doubtAt+m.class.Window, m, "repeat past its window")
+	}
+	if m.key != 0 {
+		q := j.order[m.key]
+		for len(q) > 0 && q[0].ended && !q[0].out {
+			q = q[1:]
+		}
+		j.order[m.key] = q
+		j.check(q[0] == m, m, "out of order")
+		j.check(m.tries > 0 || j.now >= j.rest[m.key], m, "sent while its key rests")
+	}
+	m.tries++
+	m.out, m.ep, m.round, m.firstSent = true, a.Endpoint, j.now, j.now
+	j.calls[[2]int64{int64(j.now), int64(a.Endpoint)}]++
+	j.out = append(j.out, m)
+	j.check(len(j.calls) <= j.set.Slots, m, "more calls than slots")
+}
+
+// resolve makes the outcome of one attempt out and notes what it tells.
+func (j *judge) resolve(m *judged, res Result, wait Time) Event {
+	m.out = false
+	call := [2]int64{int64(m.round), int64(m.ep)}
+	if j.calls[call]--; j.calls[call] == 0 {
+		delete(j.calls, call)
+	}
+	switch res {
+	case OK:
+		m.ended = true
+	case Full:
+		if wait > 0 {
+			j.wait[m.dest] = max(j.wait[m.dest], j.now+wait)
+		}
+	case ConnectFailed:
+	default:
+		if !m.doubt {
+			m.doubt, m.doubtAt = true, m.firstSent
+		}
+		if m.key != 0 && res != Errored {
+			j.rest[m.key] = j.now + j.set.SettleAfterDoubt
+		}
+	}
+	return Event{Kind: Outcome, Message: m.id, Attempt: m.tries - 1, Endpoint: m.ep, Result: res, Closed: m.ended,
+		Lag: j.now - m.round, Wait: wait}
+}
+
+// Random events, legal and not, for several seeds: whatever comes, the rules hold and each message has one answer.
+func TestRulesHoldUnderRandomEvents(t *testing.T) {
+	for seed := range int64(12) {
+		play(t, seed)
+	}
+}
+
+func play(t *testing.T, seed int64) {
+	rng := rand.New(rand.NewSource(seed))
+	set := testSettings()
+	set.Slots, set.MaxOpen, set.Instances = 2+rng.Intn(8), 16+rng.Intn(60), 1+rng.Intn(40)
+	set.Tick = 20 * Millisecond
+	d, err := New(set, uint64(seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	j := &judge{t: t, set: set, msgs: map[MessageID]*judged{}, wait: map[int]Time{}, ready: map[Endpoint]bool{},
+		calls: map[[2]int64]int{}, order: map[uint64][]*judged{}, rest: map[uint64]Time{}, marks: map[uint64]Time{}}
+	sick := map[int]Result{}
+	for round := Time(0); round < 6000; round++ {
+		j.now = round * 20 * Millisecond
+		var events []Event
+		for dest := 1; dest <= 4; dest++ { // destinations fall ill and well
+			if rng.Intn(300) == 0 {
+				sick[dest] = Result(rng.Intn(int(Moot)))
+			}
+		}
+		if round == 0 || rng.Intn(100) == 0 {
+			e := entry(1+rng.Intn(4), rng.Intn(3), rng.Intn(2))
+			e.Health = Health(rng.Intn(3))
+			if round < 3 {
+				e.Health = Ready
+			}
+			j.ready[e.Endpoint] = e.Health == Ready
+			events = append(events, Event{Kind: List, Entries: []Entry{e}})
+		}
+		if round < 4500 && rng.Intn(4) == 0 {
+			events = append(events, j.arrival(rng))
+		}
+		rest := j.out[:0]
+		for _, m := range j.out {
+			res, lost := sick[m.dest], sick[m.dest] == TimedOut
+			switch {
+			case j.now >= m.deadline:
+				events = append(events, j.resolve(m, TimedOut, 0))
+			case lost || rng.Intn(10) > 0:
+				rest = append(rest, m)
+			case res == Full && rng.Intn(2) == 0:
+				events = append(events, j.resolve(m, Full, Time(rng.Intn(3000))*Millisecond))
+			default:
+				events = append(events, j.resolve(m, res, 0))
+			}
+		}
+		j.out = rest
+		for mark, due := range j.marks {
+			if j.now >= due {
+				delete(j.marks, mark)
+				events = append(events, Event{Kind: Tick, Mark: mark})
+			}
+		}
+		events = append(events, illegal(rng)...)
+		for _, a := range d.Step(j.now, events, nil) {
+			if a.Kind == Cancel {
+				j.cancel(a)
+				continue
+			}
+			j.act(a)
+		}
+		for _, m := range j.msgs {
+			j.check(m.ended || j.now <= m.deadline, m, "no answer in time")
+		}
+	}
+	if len(d.msgs) > 0 || d.busy != 0 || d.open != 0 {
+		t.Errorf("seed %d: left %d messages, %d slots, %d open", seed, len(d.msgs), d.busy, d.open)
+	}
+}
+
+// cancel lets a call that was called off end so at once, by making it due: its outcome comes in the next round.
+func (j *judge) cancel(a Action) {
+	m := j.msgs[a.Message]
+	j.check(m != nil && m.out && m.tries-1 == a.Attempt, m, "cancels what is not out")
+}
+
+func (j *judge) arrival(rng *rand.Rand) Event {
+	class := rng.Intn(4)
+	m := &judged{id: MessageID(len(j.msgs) + 1), class: &j.set.Classes[class], dest: 1 + rng.Intn(4)}
+	grace := Time(1+rng.Intn(20)) * s
+	m.deadline = j.now + grace
+	if m.class.InOrder {
+		m.key = uint64(1 + m.dest)
+		j.order[m.key] = append(j.order[m.key], m)
+	}
+	j.msgs[m.id] = m
+	return Event{Kind: Arrival, Message: m.id, Class: class, Dest: m.dest, Key: m.key, Grace: grace}
+}
+
+// illegal makes events that no honest caller sends: they must change nothing that the rules see.
+func illegal(rng *rand.Rand) []Event {
+	switch rng.Intn(8) {
+	case 0:
+		return []Event{done(MessageID(1e9), 0, Result(rng.Intn(9))), {Kind: Withdrawn, Message: 1e9}}
+	case 1:
+		return []Event{{Kind: Tick, Mark: 1e12}, {Kind: Probed, Endpoint: 999}, {Kind: EventKind(77)}}
+	case 2:
+		return []Event{done(MessageID(1+rng.Intn(50)), 90, OK), {Kind: List, ListKind: ListFailed}}
+	}
+	return nil
+}
