--- a/control/control.go
+++ b/control/control.go
@@ -777,8 +777,8 @@
 			switch {
 			case c.trial:
 				patience = float64(1 + min(ep.bad, failStreak))
-			case d.short:
-				patience = 1
+			case d.short: // a slot of two is dearer than one of ten
+				patience = max(1, patience-2/float64(d.set.Slots))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
 				d.recall(c, d.short && age > patience*(stuckAfter-once))
