--- a/control/control.go
+++ b/control/control.go
@@ -370,7 +370,9 @@
 	ep.calls = append(ep.calls, c)
 	ep.open, ep.used = true, d.now
 	ep.pace.tokens--
-	ep.push -= 1 + batchExtra*float64(len(c.msgs)-1)
+	if !trial || d.sure(ep) { // the trial that makes sure is not of the ramp
+		ep.push -= 1 + batchExtra*float64(len(c.msgs)-1)
+	}
 	if c.trial {
 		ep.trialAt = d.now + ep.trialGap + Time(d.random()*float64(ep.trialGap)/4)
 		ep.trialGap = min(Time(float64(ep.trialGap)*trialGrow), trialMost)
@@ -884,8 +886,6 @@
 	return d.set.ColdFrom + (1-d.set.ColdFrom)*float64(since)/float64(max(d.set.WarmUp, 1))
 }
 
-// ---- the endpoint list ----
-
 // started gives a destination without calls yet its first window: a fair share of the slots.
 func (d *Dispatcher) started(t *dest) {
 	if t.starting && t.ends == 0 {
