--- a/control/control.go
+++ b/control/control.go
@@ -29,6 +29,7 @@
 	trialGrow   = 1.5               // each failed trial spaces the next one so much wider ...
 	trialMost   = 2 * Second        // ... up to this; longer would waste what a returned endpoint can do
 	doubtFade   = 4                 // warm-ups after which one unseen since its failure is tried like any other
+	trialPart   = 0.5               // part of that which trials of a suspect take, as new senders try it, too
 	backoffBase = 100 * Millisecond // least first pause after a refusal that told no wait; doubles ...
 	backoffMost = 4 * Second        // ... up to this
 	allowCut    = 0.7               // share of the own demand allowed after a refusal, of the share before
@@ -199,8 +200,7 @@
 	d.hold(m)
 }
 
-// overShare tells whether a tenant now sends more than its share. Only the part of the fleet's traffic
-// that comes here is seen, so the share is measured against this dispatcher's own traffic.
+// overShare tells whether a tenant now sends more than its share, measured against what comes here.
 func (d *Dispatcher) overShare(t int) bool {
 	d.all.add(d.now, 1)
 	if t < 0 || t >= len(d.tenants) || d.quota <= 0 {
@@ -307,8 +307,7 @@
 		if worst == nil {
 			return
 		}
-		// Where a limit is felt and traffic is rare, other senders know nothing of the limit: if clients came
-		// again there it would only be refused once more.
+		// Other senders know as little of a limit where traffic is rare: clients should not try them.
 		hopeless := worst.dest.pace.allow < 1 && worst.dest.demand.rate(d.now)*d.aim.seconds() < 1
 		d.finish(worst, !hopeless)
 	}
@@ -449,19 +448,19 @@
 func (d *Dispatcher) ceiling() int { return max(1, (3*d.set.Slots+3)/4-1) }
 
 // sick tells that a destination fails or is slow.
-func (t *dest) sick() bool {
+func (d *Dispatcher) sick(t *dest) bool {
 	return t.lat.mean > slowFactor*t.base || slices.ContainsFunc(t.eps, doubted)
 }
 
 // room is the window in force: failing and slow destinations share half of the slots among them all, so
 // that two of them cannot hold two slots of two.
 func (d *Dispatcher) room(t *dest) int {
-	if !t.sick() {
+	if !d.sick(t) {
 		return max(1, min(t.wmax, d.ceiling()))
 	}
 	most := max(1, d.set.Slots/2)
 	for _, o := range d.live {
-		if o != t && o.w > 0 && o.sick() {
+		if o != t && o.w > 0 && d.sick(o) {
 			most -= o.w
 		}
 	}
@@ -633,7 +632,7 @@
 		d.returned(ep, c)
 	}
 	ep.suspect, ep.proven, ep.dropped = false, false, 0
-	ep.heard, ep.bad, ep.errs = d.now, 0, 0
+	ep.heard, ep.bad, ep.errs, p.bad = d.now, 0, 0, 0
 }
 
 // returned judges what a suspect's first answer tells. After an outage it came back at some moment since the
@@ -659,16 +658,11 @@
 // sure tells that what failed in a row means an outage. It mostly takes all endpoints of a destination: those
 // that fail now bear each other out. Where answers get lost it takes more of them.
 func (d *Dispatcher) sure(ep *endpoint) bool {
-	n, bad := sureAfter, 0
+	n := sureAfter
 	if !ep.proven {
 		n += int(sureLost * d.lost)
 	}
-	for _, o := range ep.dest.eps {
-		if o.suspect && o.pace == ep.pace {
-			bad += o.bad
-		}
-	}
-	return bad >= n || ep.errs >= failStreak
+	return max(ep.bad, ep.pace.bad) >= n || ep.errs >= failStreak
 }
 
 // chill starts an endpoint's ramp, as if it had come back at the moment given.
@@ -684,6 +678,7 @@
 func (d *Dispatcher) failed(ep *endpoint, c *call, proven bool) {
 	if c.sent >= ep.failedAt {
 		ep.bad++
+		ep.pace.bad++ // kept when an endpoint that failed leaves the list
 		ep.failedAt, ep.proven, ep.dropped = d.now, proven, c.idle
 	}
 	ep.proven = ep.proven || proven // silence at first, then no connection: it was no lost answer
@@ -693,7 +688,7 @@
 	ep.suspect, ep.downAt, ep.push = true, d.now, d.random()
 	ep.dest.demand.credit(d.now, &ep.past)
 	if ep.trialAt, ep.trialGap = d.now, d.silence(ep.dest); ep.proven {
-		ep.trialAt += Time(d.random() * float64(ep.trialGap))
+		ep.trialAt += Time(d.random() * float64(trialMost))
 	}
 }
 
@@ -868,7 +863,7 @@
 	case ep.suspect && !d.sure(ep):
 		return true // the trial that makes sure
 	case ep.suspect:
-		warmth = d.warmth((d.now - ep.failedAt) / doubtFade)
+		warmth = trialPart * d.warmth((d.now-ep.failedAt)/doubtFade)
 	case ep.coldAt == 0:
 		return true
 	}
@@ -896,7 +891,7 @@
 // joined judges an endpoint new to the list: one that joins a destination which is all down or cold shares
 // its fate, as the held messages must not be dumped on it.
 func (d *Dispatcher) joined(t *dest, ep *endpoint) {
-	if slices.ContainsFunc(t.eps, ill) && !slices.ContainsFunc(t.eps, well) {
+	if (t.pace.bad > 0 || slices.ContainsFunc(t.eps, ill)) && !slices.ContainsFunc(t.eps, well) {
 		d.chill(ep, d.now)
 	}
 }
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -146,7 +146,7 @@
 	r.at(0, r.msg(single, 2))
 	r.wait(4 * s)
 	one, two := r.d.byNo[1], r.d.byNo[2]
-	if !one.sick() || !two.sick() {
+	if !r.d.sick(one) || !r.d.sick(two) {
 		t.Fatal("not both are taken as hung")
 	}
 	acts := r.at(0, r.msg(free, 3))
@@ -232,3 +232,25 @@
 		t.Errorf("%d notes in 20 s", notes)
 	}
 }
+
+// A failed endpoint that leaves the list takes nothing of what is known with it: hundreds of senders once tried
+// its sibling at the same moment, when the gone one was forgotten.
+func TestOutageOutlivesTheEndpointsThatShowedIt(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0), entry(1, 1, 0))
+	r.wait(20 * s)
+	r.want(r.at(0, r.msg(free, 1)), 1)
+	acts := r.at(s/50, done(1, 0, ConnectFailed))
+	r.want(acts, 1)
+	gone := entry(1, int(acts[0].Endpoint)%10, 0)
+	gone.Health = Gone
+	r.at(s/50, done(1, 1, ConnectFailed), Event{Kind: List, Entries: []Entry{gone}})
+	r.wait(2 * seldom)
+	left := r.d.byNo[1].eps
+	if len(left) != 1 || !r.d.sure(left[0]) {
+		t.Fatalf("%d endpoints left, the outage is forgotten", len(left))
+	}
+	r.at(0, Event{Kind: List, Entries: []Entry{entry(1, 2, 0)}})
+	if e := r.d.byID[ep(1, 2)]; e.coldAt == 0 {
+		t.Error("an endpoint that joins does not start cold")
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -86,7 +86,7 @@
 	wait, at, cutAt, okAt, fullSince Time    // wait is told, or our own backoff
 	allow, bound, tokens             float64 // share of the own demand let go; listed or reported rate
 	past                             float64 // demand seen when the tokens were reckoned
-	streak                           int
+	streak, bad                      int     // refusals in a row; calls in a row that met nobody or silence, at all its endpoints
 	ok                               meter
 }
 
