--- a/control/control.go
+++ b/control/control.go
@@ -688,7 +688,7 @@
 	ep.suspect, ep.downAt, ep.push = true, d.now, d.random()
 	ep.dest.demand.credit(d.now, &ep.past)
 	if ep.trialAt, ep.trialGap = d.now, d.silence(ep.dest); ep.proven {
-		ep.trialAt += Time(d.random() * float64(trialMost))
+		ep.trialAt += Time(d.random() * float64(ep.trialGap))
 	}
 }
 
