--- a/control/control.go
+++ b/control/control.go
@@ -775,7 +775,7 @@
 			case c.trial:
 				patience = float64(1 + min(ep.bad, failStreak))
 			case d.short: // a slot of two is dearer than one of ten
-				patience = max(1, patience-4/float64(d.set.Slots*d.set.Slots))
+				patience = max(1, patience-2/float64(d.set.Slots))
 			}
 			if age > patience && (ep.okSent > c.sent || ep.suspect) {
 				d.recall(c, d.short && age > patience*(stuckAfter-once))
