--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"os"
 	"slices"
 	"strings"
@@ -144,6 +145,21 @@
 		"limits.max-open":   func(s *Settings) { s.MaxOpen = 0 },
 		"limits.most-tries": func(s *Settings) { s.MaxTries = 0 },
 		"classes.count":     func(s *Settings) { s.Classes = nil },
+		"instances":         func(s *Settings) { s.Instances = 0 },
+		"tick":              func(s *Settings) { s.Tick = 0 },
+
+		"rules.cold-from":          func(s *Settings) { s.ColdFrom = 1.5 },
+		"rules.warm-up":            func(s *Settings) { s.WarmUp = -1 },
+		"rules.overload-for":       func(s *Settings) { s.OverloadFor = -s.OverloadFor },
+		"rules.tip-multiple":       func(s *Settings) { s.TipMultiple = math.NaN() },
+		"limits.conn-idle":         func(s *Settings) { s.ConnIdle = -1 },
+		"over-share-worth":         func(s *Settings) { s.OverShare = math.Inf(1) },
+		"classes.1.gain":           func(s *Settings) { s.Classes[1].Worth = -1 },
+		"classes.2.target":         func(s *Settings) { s.Classes[2].Aim = -1 },
+		"classes.0.late-worth":     func(s *Settings) { s.Classes[0].LateWorth = math.NaN() },
+		"tenants.0.quota-per-s":    func(s *Settings) { s.Tenants = []Tenant{{Quota: -1}} },
+		"extra.batch-by-kind":      func(s *Settings) { s.Kinds[0].Batch = 0 },
+		"rules.settle-after-doubt": func(s *Settings) { s.SettleAfterDoubt = -1 },
 	} {
 		set := testSettings()
 		spoil(&set)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -135,3 +135,15 @@
 		}
 	}
 }
+
+func TestCloseIsHangUp(t *testing.T) {
+	var r Reply
+	var out bytes.Buffer
+	r.Add(3, control.Action{Kind: control.Close, Endpoint: control.Endpoint(0xf211900a<<16 | 0x1fbc)})
+	if err := r.Write(&out, 1); err != nil {
+		t.Fatal(err)
+	}
+	if want := unhex(t, `01000000 01000000 09000000 16 0300 0a9011f2 bc1f`); !bytes.Equal(out.Bytes(), want) {
+		t.Errorf("reply %x, want %x", out.Bytes(), want)
+	}
+}
