--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -254,3 +254,21 @@
 		t.Error("an endpoint that joins does not start cold")
 	}
 }
+
+// Aims of nothing are legal settings: shares and waits stay finite, and messages are sent and answered.
+func TestAimOfNothingIsHarmless(t *testing.T) {
+	set := testSettings()
+	for i := range set.Classes {
+		set.Classes[i].Aim = 0
+	}
+	r := newRig(t, set, entry(1, 0, 0))
+	r.want(r.at(0, r.msg(free, 1)), 1)
+	r.at(s/10, full(1, 0, 0))
+	p := r.d.byNo[1].pace
+	if r.wait(5 * s); p.tokens != p.tokens || p.wait > r.now+backoffMost {
+		t.Errorf("tokens %v, wait until %v at %v", p.tokens, p.wait, r.now)
+	}
+	if d := r.d; !(d.aim > 0) {
+		t.Errorf("aim %v", d.aim)
+	}
+}
