--- a/control/control.go
+++ b/control/control.go
@@ -102,7 +102,7 @@
 		d.quota += t.Quota
 	}
 	for _, c := range s.Classes {
-		d.aim = min(d.aim, c.Aim)
+		d.aim = max(min(d.aim, c.Aim), s.Tick)
 	}
 	for range max(1, len(s.Kinds)) {
 		d.kinds = append(d.kinds, &kind{keep: 2 * s.ConnIdle, again: firstAgain})
@@ -707,7 +707,7 @@
 	}
 	want := ep.dest.demand.rate(d.now)
 	if wait == 0 {
-		base := min(max(backoffBase, Time(float64(Second)/2/want)), d.aim/2)
+		base := max(backoffBase, Time(min(float64(d.aim), float64(Second)/want)/2))
 		pause := min(base<<min(p.streak-1, 6), backoffMost)
 		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
 	}
