A known limit is shared evenly where it is felt; the ramp's margin comes from tip-multiple; refusals at a used-up limit start no ramp

Evidence from a tap: 20 calls a second at limits of 7 and 5, all refused with x0 at 0, before, during and after the outage: refused calls used up the limit, and demand with clients' retries was twice the limit, so demand x warmth x 1.2 was over 1.5 times the cold capacity. The assumptions that fitted the earlier fleets only: a margin of 1.2 (now at most 0.6 x tip-multiple), and that own demand adds up to what a destination can take (where the limit is listed or reported, a sender in a felt limit keeps to the larger of its learned share and 0.8 of an even share, and the share learned has no floor). Can't come back: with x0 at 0 each of N senders falls to 0.8/N of the limit. May hurt uneven senders, whose even share is less than their part.

--- a/control/control.go
+++ b/control/control.go
@@ -44,7 +44,10 @@
 	demandTau   = 10 * Second       // memory of the demand that ramps and shares are sized by
 	rateBurst   = 0.5               // seconds of the release rate that may go at once
 	roughSlack  = 1.5               // a rough listed rate may be this much too low
-	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, under tip-multiple
+	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, and at most this part ...
+	tipPart     = 0.6               // ... of tip-multiple, lest chance alone reaches it
+	fairShare   = 0.8               // part of an even share of a known limit that a sender may always use
+	limitLeft   = 0.1               // refused with more than this share of the limit left: not for the limit
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
 	scarceFor   = 30 * Second       // connections count as scarce so long after the last sign of it
 	dropsSure   = 0.2               // share of calls on idle connections that fail before they count as dropped
@@ -600,14 +603,16 @@
 		d.succeeded(ep, c)
 	case Full:
 		ep.heard = d.now
-		d.refused(ep, c, e.Wait)
+		left := d.set.ReportLeft
+		known := ep.pace.bound > 0 && left >= 0 && left < len(e.Report)
+		d.refused(ep, c, e.Wait, known && e.Report[left] < limitLeft)
 	case ConnectFailed:
 		// An outage, or all its connections are taken. Idle ones of many senders fill a table made for calls.
 		if d.set.Instances > d.set.Slots {
 			t.kind.scarce = d.now + scarceFor
 		}
 		if ep.bad == 0 && len(ep.calls) > 1 && d.now-ep.heard < d.silence(t) {
-			d.refused(ep, c, 0) // others are answered: no outage
+			d.refused(ep, c, 0, false) // others are answered: no outage
 			return
 		}
 		d.failed(ep, c, true)
@@ -737,9 +742,11 @@
 }
 
 // refused learns from a refusal: waits are kept, a smaller share of the own demand is let go.
-func (d *Dispatcher) refused(ep *endpoint, c *call, wait Time) {
+func (d *Dispatcher) refused(ep *endpoint, c *call, wait Time, spent bool) {
 	p, k := ep.pace, ep.dest.kind
-	if p.fullSince == 0 {
+	if spent && wait <= d.set.OverloadFor {
+		p.fullSince = 0
+	} else if p.fullSince == 0 {
 		p.fullSince = d.now
 	}
 	if c.sent < p.cutAt {
@@ -755,7 +762,9 @@
 		pause := min(base<<min(p.streak-1, 6), backoffMost)
 		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
 	}
-	p.allow = max(min(p.allow, 1)*allowCut, leastAllow)
+	if p.allow = min(p.allow, 1) * allowCut; p.bound == 0 {
+		p.allow = max(p.allow, leastAllow)
+	}
 	p.tokens = min(p.tokens, d.random()) // retries, too, stay within the share
 }
 
@@ -889,9 +898,12 @@
 	if p.bound > 0 {
 		credit = p.bound * gone
 	}
-	if p.allow < unfelt {
-		p.allow += allowRise * min(want, 2*gone)
-		credit = min(credit, p.allow*want)
+	if fair := fairShare * credit / float64(d.set.Instances); p.allow < unfelt {
+		if p.bound == 0 {
+			fair = 0
+			p.allow += allowRise * min(want, 2*gone)
+		}
+		credit = min(credit, max(p.allow*want, fair))
 	}
 	p.at = d.now
 	p.tokens = min(p.tokens+credit, max(1, rateBurst*p.allow*t.demand.rate(d.now), rateBurst*p.bound))
@@ -902,7 +914,7 @@
 // so that all senders together stay within what a cold destination can do however many they are. Guards
 // against pushing it over. It could hurt a wrongly suspected one, which is used less for the warm-up.
 func (d *Dispatcher) warm(ep *endpoint) bool {
-	warmth := d.warmth(d.now-ep.coldAt) * rampMargin
+	warmth := d.warmth(d.now-ep.coldAt) * min(rampMargin, tipPart*max(d.set.TipMultiple, 1))
 	switch {
 	case ep.suspect && !d.sure(ep):
 		return true // the trial that makes sure
@@ -915,8 +927,8 @@
 		ep.coldAt = 0
 		return true
 	}
-	part := warmth / float64(max(ep.dest.ready(), 1))
-	ep.push = min(ep.push+part*ep.dest.demand.credit(d.now, &ep.past), 1)
+	want := ep.dest.demand.credit(d.now, &ep.past) / float64(max(ep.dest.ready(), 1))
+	ep.push = min(ep.push+warmth*want, 1)
 	return ep.push >= 1
 }
 
