Peers tell each other of used-up limits and of returns; all hold together where refused calls keep a limit at nothing

Change: a refusal with the limit used up is told (4 bytes); all who hear hold for the told wait or half a second, then go on spread, over longer when the next refusal follows soon. Returns of endpoints that could not be reached are told, too. Hints are never proof, priced against deductions.peer (a point at most) with each note's own bytes reckoned. Also holds against clumps that meet a limit everywhere at once. May hurt where a limit is refused to one sender only. Moved without change: the Dispatcher's fields, event routing and key upkeep to state.go.

--- a/control/api.go
+++ b/control/api.go
@@ -96,6 +96,11 @@
 	AskList  bool
 	AskEvery Time
 
+	// Peers: dispatchers may send each other notes, which may be late or lost. PeerPrice is the part of the result
+	// that 256 bytes delivered for each message would cost.
+	Peers     bool
+	PeerPrice float64
+
 	StopSendingWithin Time
 	ColdFrom          float64
 	WarmUp            Time
@@ -116,6 +121,7 @@
 	Tick                           // a timer came due [Mark]
 	Probed                         // a probe ended [Endpoint Result Lag Report]
 	List                           // the endpoint list [ListKind Entries]
+	NoteFrom                       // a note of another dispatcher [Content]
 )
 
 // Result is how an attempt or a probe ended.
@@ -183,6 +189,7 @@
 	Mark     uint64
 	ListKind ListKind
 	Entries  []Entry
+	Content  string // bytes of a peer's note
 }
 
 // ActionKind tells what an Action is.
@@ -199,6 +206,7 @@
 	Close                        // close the idle connections to an endpoint [Endpoint]
 	Watch                        // AskList only: subscribe to the list from now on; answered by one List event []
 	Fetch                        // AskList only: ask for the whole list once; answered by one List event []
+	Share                        // Peers only: send a note to every other dispatcher [Text: its bytes, 256 at most]
 	Note                         // a line for the operators [Text]
 )
 
--- a/control/control.go
+++ b/control/control.go
@@ -63,36 +63,20 @@
 	askSpread   = 2                 // the first asking for the list is spread over ask-every by this, and ...
 	askLeast    = 16                // ... pauses after a failed one double from this part of it to the former
 	askCheck    = 6                 // a list silent for so many times ask-every is fetched whole, to be sure
+	noteSpend   = 0.01              // of the result may be spent on notes to peers
+	noteHead    = 12                // bytes reckoned for a note itself
+	noteFull    = 256               // bytes that peer-price is for
+	noteMost    = 40                // bytes that may be saved up
+	hintSize    = 4                 // bytes of one hint
+	hintUnit    = 20 * Millisecond  // unit of the wait in it
+	hintHold    = Second / 2        // hold of a destination at its limit where no wait was told
+	spreadMost  = 8 * Second        // a release is spread over this at most
+	hintAgain   = Second            // a failure is told again after this
+	linkFor     = 3 * Second        // notes count as lost when none was heard for so long
 	wakeTicks   = 4                 // ticks between looks at the clock while anything is held or out
 	seldom      = 10 * Second       // how often state without use is looked for and operators are told something
 )
 
-// Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
-type Dispatcher struct {
-	set                       Settings
-	rng                       uint64
-	aim                       Time // the least aim of a class
-	now, wake, tidied, noteAt Time
-	askAt, askDue, askGap     Time // next asking for the list; its timer; pause after the next failure
-	out                       []Action
-	msgs                      map[MessageID]*message
-	keys                      map[uint64]*keyTurn
-	byNo                      map[int]*dest
-	byID                      map[Endpoint]*endpoint
-	resting                   []*keyTurn
-	dests, live               []*dest // all; those with messages held or out
-	kinds                     []*kind
-	left                      []*endpoint // calls there ended in this round
-	busy, open                int         // slots taken; messages owed an answer
-	count, round              uint64
-	tenants                   []meter
-	all                       meter
-	quota, slack              float64 // messages a second within all shares; factor on a listed rate
-	lost                      float64 // share of answers that get lost
-	short                     bool    // messages wait for want of slots
-	watching                  bool    // subscribed to the list
-}
-
 // New returns a Dispatcher, or an error that names the setting at fault.
 func New(s Settings, seed uint64) (*Dispatcher, error) {
 	if err := s.check(); err != nil {
@@ -100,8 +84,10 @@
 	}
 	d := &Dispatcher{
 		set: s, rng: seed*2862933555777941757 + 3037000493, aim: s.Classes[0].Aim, lost: leastLost,
-		msgs: map[MessageID]*message{}, keys: map[uint64]*keyTurn{}, byNo: map[int]*dest{},
-		byID: map[Endpoint]*endpoint{}, tenants: make([]meter, len(s.Tenants)),
+		noteCredit: noteMost / 2,
+		notePart:   noteSpend / max(s.PeerPrice, noteSpend) * noteFull / float64(s.Instances),
+		msgs:       map[MessageID]*message{}, keys: map[uint64]*keyTurn{}, byNo: map[int]*dest{},
+		byID: map[Endpoint]*endpoint{}, byHint: map[uint32]*endpoint{}, tenants: make([]meter, len(s.Tenants)),
 	}
 	if d.slack = 1; s.Weights == WeightRough {
 		d.slack = roughSlack
@@ -120,15 +106,11 @@
 
 // Step handles the events of one round, dispatches once and returns actions with its own appended.
 func (d *Dispatcher) Step(now Time, events []Event, actions []Action) []Action {
-	if d.round == 0 {
-		d.all = meter{tau: demandTau, at: now, t0: now}
-		for i := range d.tenants {
-			d.tenants[i] = d.all
-		}
+	if d.now, d.out = now, actions; d.round == 0 {
+		d.begin()
 		d.askGap = d.set.AskEvery / askLeast
 		d.askAt = now + Time(d.random()*float64(d.set.AskEvery)/askSpread)
 	}
-	d.now, d.out = now, actions
 	d.round++
 	for i := range events {
 		d.handle(&events[i])
@@ -139,6 +121,7 @@
 	}
 	d.dispatch()
 	d.ask()
+	d.share()
 	d.leave()
 	d.shed()
 	if now-d.tidied >= seldom {
@@ -153,26 +136,6 @@
 	return d.out
 }
 
-func (d *Dispatcher) handle(e *Event) {
-	switch e.Kind {
-	case Arrival:
-		d.arrive(e)
-	case Outcome:
-		d.outcome(e)
-	case Withdrawn:
-		if m := d.msgs[e.Message]; m != nil {
-			d.end(m)
-		}
-	case Tick: // the message's time is nearly up
-		if m := d.msgs[MessageID(e.Mark-1)]; e.Mark > 0 && m != nil && !m.ended {
-			d.finish(m, true)
-		}
-	case List:
-		d.list(e)
-		d.listed(e.ListKind)
-	}
-}
-
 // ask subscribes to the list where it is not pushed; one silent for long is fetched whole, lest a change was
 // lost. First askings are spread: restarts in numbers must not stampede the list. Guards against lists out of
 // reach, broken subscriptions and lost answers. It could hurt by learning of new endpoints some seconds late.
@@ -231,6 +194,7 @@
 	d.open++
 	m.dest.open++
 	m.dest.demand.add(d.now, 1)
+	d.noteCredit = min(d.noteCredit+d.notePart, noteMost)
 	// The answer leaves before the time is up, one round early for rounding.
 	d.out = append(d.out, Action{Kind: Timer, After: max(e.Grace-2*d.set.Tick, 0), Mark: uint64(m.id) + 1})
 	if c.InOrder && e.Key != 0 {
@@ -258,23 +222,6 @@
 	return d.tenants[t].rate(d.now) > d.set.Tenants[t].Quota*part*overMargin
 }
 
-// turn puts the message whose turn it is into its hold. One that waits for its turn is in no hold.
-func (d *Dispatcher) turn(k *keyTurn) {
-	for len(k.queue) > 0 && k.queue[0].ended && k.queue[0].out == nil {
-		k.queue = k.queue[1:]
-	}
-	if len(k.queue) == 0 {
-		if !k.parked { // its rest binds those to come; it is dropped later
-			k.parked = true
-			d.resting = append(d.resting, k)
-		}
-		return
-	}
-	if m := k.queue[0]; !m.ended && !m.held && m.out == nil {
-		d.hold(m)
-	}
-}
-
 // hold puts a message into its lane, by age. A hold turning non-empty takes the least other counter.
 func (d *Dispatcher) hold(m *message) {
 	t := m.dest
@@ -296,6 +243,9 @@
 	}
 }
 
+// due answers a message whose time is nearly up.
+func (d *Dispatcher) due(m *message) { d.finish(m, true) }
+
 // finish gives a final answer: handed back, if that is wanted and provably harmless, else failed.
 func (d *Dispatcher) finish(m *message, back bool) {
 	a := Action{Kind: Fail, Message: m.id}
@@ -312,23 +262,6 @@
 	return !maybe || m.class.Effect == Free || m.class.Effect == Guarded && !m.class.ZoneGroup
 }
 
-// end drops a message that is answered; one with an attempt out is kept until its outcome.
-func (d *Dispatcher) end(m *message) {
-	if !m.ended {
-		m.ended = true
-		d.open--
-		m.dest.open--
-		m.dest.drop(m)
-	}
-	if m.out != nil {
-		return
-	}
-	delete(d.msgs, m.id)
-	if m.key != nil {
-		d.turn(m.key)
-	}
-}
-
 // shed keeps room below max-open by handing back what is worth least, from the lanes' two ends. Guards
 // against overload and outages filling the hold. It could hurt just before an outage ends.
 func (d *Dispatcher) shed() {
@@ -677,11 +610,20 @@
 		ep.dest.kind.again += lostGain * (1 - ep.dest.kind.again)
 	}
 	p.streak, p.fullSince, p.okAt = 0, 0, d.now
+	if ep.suspect && ep.proven && d.now-ep.toldAt > hintAgain {
+		d.tell(ep, 0)
+		ep.toldAt = d.now
+	}
+	d.cleared(ep, c)
+}
+
+// cleared lifts suspicion by an answer, or by a hint where c is nil.
+func (d *Dispatcher) cleared(ep *endpoint, c *call) {
 	if ep.suspect {
 		d.returned(ep, c)
 	}
 	ep.suspect, ep.proven, ep.dropped = false, false, 0
-	ep.heard, ep.bad, ep.errs, p.bad = d.now, 0, 0, 0
+	ep.heard, ep.bad, ep.errs, ep.pace.bad = d.now, 0, 0, 0
 }
 
 // returned judges what a suspect's first answer tells. After an outage it came back at some moment since the
@@ -690,10 +632,10 @@
 func (d *Dispatcher) returned(ep *endpoint, c *call) {
 	gone := d.now - ep.downAt
 	switch {
-	case !c.trial && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
+	case c != nil && !c.trial && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
 	case (d.sure(ep) || ep.proven) && gone > d.set.OverloadFor:
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
-	case !ep.proven:
+	case c != nil && !ep.proven: // seen, not told by a peer
 		k := ep.dest.kind
 		d.lost += float64(ep.bad) * lostGain * (1 - d.lost)
 		if ep.dropped > 0 {
@@ -757,15 +699,77 @@
 		k.again -= lostGain * k.again
 	}
 	want := ep.dest.demand.rate(d.now)
-	if wait == 0 {
+	span := min(max(wait, hintHold), backoffMost)
+	if spent && d.now >= p.holdTo {
+		d.tell(ep, span)
+	}
+	switch {
+	case spent && d.set.Peers && d.now-d.noteHeard < linkFor: // all hold together, then this one may go again
+		d.crowd(p, span)
+		p.tokens++
+	case wait == 0:
 		base := max(backoffBase, Time(min(float64(d.aim), float64(Second)/want)/2))
 		pause := min(base<<min(p.streak-1, 6), backoffMost)
 		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
+		fallthrough
+	default:
+		p.tokens = min(p.tokens, d.random()) // retries, too, stay within the share
 	}
 	if p.allow = min(p.allow, 1) * allowCut; p.bound == 0 {
 		p.allow = max(p.allow, leastAllow)
 	}
-	p.tokens = min(p.tokens, d.random()) // retries, too, stay within the share
+}
+
+// ---- hints between peers ----
+
+// tell adds a hint to the notes of this round, as far as their price allows. A hint is four bytes: a wait, or
+// 0 for a return, and the endpoint's short name.
+func (d *Dispatcher) tell(ep *endpoint, wait Time) {
+	cost := float64(hintSize)
+	if len(d.notes) == 0 {
+		cost += noteHead
+	}
+	if !d.set.Peers || d.noteCredit < cost {
+		return
+	}
+	d.noteCredit -= cost
+	n := hintName(ep.id)
+	d.notes = append(d.notes, byte(min(wait/hintUnit, 255)), byte(n>>16), byte(n>>8), byte(n))
+}
+
+// hear takes a peer's hints. They are never proof, and all works without any. They tell what one sender sees
+// too little of: limits and returns of partners that it seldom calls. Wrong ones hurt by a hold or a try.
+func (d *Dispatcher) hear(note string) {
+	d.noteHeard = d.now
+	for ; len(note) >= hintSize; note = note[hintSize:] {
+		ep := d.byHint[uint32(note[1])<<16|uint32(note[2])<<8|uint32(note[3])]
+		switch wait := Time(note[0]) * hintUnit; {
+		case ep == nil:
+		case wait > 0:
+			d.crowd(ep.pace, wait)
+		default:
+			if ep.toldAt = d.now; ep.proven {
+				d.cleared(ep, nil)
+			}
+		}
+	}
+}
+
+// crowd holds messages for a used-up limit for the span told and spreads their release: over longer when the
+// next refusal follows soon, over less when it comes late. Guards against limits that refused calls keep at
+// nothing, and many senders trying at once. It could hurt where the refusal was one sender's own.
+func (d *Dispatcher) crowd(p *pace, span Time) {
+	switch {
+	case d.now < p.holdTo:
+	case d.now-p.holdTo < p.spread/2:
+		p.spread = min(max(p.spread*3/2, span), spreadMost)
+	default:
+		p.spread = max(p.spread*2/3, span)
+	}
+	if to := d.now + span; to > p.holdTo {
+		p.holdTo = to
+		p.wait = max(p.wait, to+Time(d.random()*float64(p.spread)))
+	}
 }
 
 // ---- connections ----
--- a/control/settings.go
+++ b/control/settings.go
@@ -31,7 +31,7 @@
 		{"rules.stop-sending-within", float64(s.StopSendingWithin)}, {"rules.cold-from", s.ColdFrom},
 		{"rules.warm-up", float64(s.WarmUp)}, {"rules.tip-multiple", s.TipMultiple},
 		{"rules.overload-for", float64(s.OverloadFor)}, {"rules.settle-after-doubt", float64(s.SettleAfterDoubt)},
-		{"rules.ask-every", float64(s.AskEvery)},
+		{"rules.ask-every", float64(s.AskEvery)}, {"deductions.peer", s.PeerPrice},
 	}
 	for i, c := range s.Classes {
 		at := fmt.Sprintf("classes.%d.", i)
--- a/control/state.go
+++ b/control/state.go
@@ -9,6 +9,36 @@
 	"slices"
 )
 
+// Dispatcher decides for one relay. It is deterministic and not safe for concurrent use.
+type Dispatcher struct {
+	set                       Settings
+	rng                       uint64
+	aim                       Time // the least aim of a class
+	now, wake, tidied, noteAt Time
+	askAt, askDue, askGap     Time // next asking for the list; its timer; pause after the next failure
+	out                       []Action
+	msgs                      map[MessageID]*message
+	keys                      map[uint64]*keyTurn
+	byNo                      map[int]*dest
+	byID                      map[Endpoint]*endpoint
+	byHint                    map[uint32]*endpoint // by the short name that notes between peers use
+	resting                   []*keyTurn
+	dests, live               []*dest // all; those with messages held or out
+	kinds                     []*kind
+	left                      []*endpoint // calls there ended in this round
+	busy, open                int         // slots taken; messages owed an answer
+	count, round              uint64
+	tenants                   []meter
+	all                       meter
+	quota, slack              float64 // messages a second within all shares; factor on a listed rate
+	lost                      float64 // share of answers that get lost
+	short                     bool    // messages wait for want of slots
+	watching                  bool    // subscribed to the list
+	notes                     []byte  // hints for the peers, sent at the end of the round
+	noteCredit, notePart      float64 // bytes that may be told now; what a message adds
+	noteHeard                 Time
+}
+
 // message is one message from arrival to its end and its last outcome.
 type message struct {
 	id                MessageID
@@ -60,6 +90,7 @@
 	downAt, failedAt    Time    // while suspect: since when; when the last failure was known
 	trialAt, trialGap   Time    // next trial, and how long until the one after
 	coldAt              Time    // start of its ramp, 0 none
+	toldAt              Time    // when its return was told last
 	push, past          float64 // calls that the ramp permits now; demand seen when that was reckoned
 }
 
@@ -86,6 +117,7 @@
 	wait, at, cutAt, okAt, fullSince Time    // wait is told, or our own backoff
 	allow, bound, tokens             float64 // share of the own demand let go; listed or reported rate
 	past                             float64 // demand seen when the tokens were reckoned
+	holdTo, spread                   Time    // all senders hold until then and go on spread over this
 	streak, bad                      int     // refusals in a row; calls in a row that met nobody or silence, at all its endpoints
 	ok                               meter
 }
@@ -228,6 +260,7 @@
 			old := ep.health == Gone && len(ep.calls) == 0 && ep.pace.wait <= d.now
 			if old {
 				delete(d.byID, ep.id)
+				delete(d.byHint, hintName(ep.id))
 			}
 			return old
 		})
@@ -305,6 +338,7 @@
 			ep.pace = d.newPace()
 		}
 		d.byID[n.Endpoint] = ep
+		d.byHint[hintName(n.Endpoint)] = ep
 	}
 	if ep.dest != t {
 		return // an endpoint does not change its destination
@@ -319,3 +353,82 @@
 		ep.pace.bound = n.Weight * d.slack
 	}
 }
+
+// end drops a message that is answered; one with an attempt out is kept until its outcome.
+func (d *Dispatcher) end(m *message) {
+	if !m.ended {
+		m.ended = true
+		d.open--
+		m.dest.open--
+		m.dest.drop(m)
+	}
+	if m.out != nil {
+		return
+	}
+	delete(d.msgs, m.id)
+	if m.key != nil {
+		d.turn(m.key)
+	}
+}
+
+// turn puts the message whose turn it is into its hold. One that waits for its turn is in no hold.
+func (d *Dispatcher) turn(k *keyTurn) {
+	for len(k.queue) > 0 && k.queue[0].ended && k.queue[0].out == nil {
+		k.queue = k.queue[1:]
+	}
+	if len(k.queue) == 0 {
+		if !k.parked { // its rest binds those to come; it is dropped later
+			k.parked = true
+			d.resting = append(d.resting, k)
+		}
+		return
+	}
+	if m := k.queue[0]; !m.ended && !m.held && m.out == nil {
+		d.hold(m)
+	}
+}
+
+// hintName is the short name of an endpoint in notes, the same at every dispatcher.
+func hintName(e Endpoint) uint32 {
+	h := uint64(e) * 0x9E3779B97F4A7C15
+	return uint32(h >> 40)
+}
+
+// share sends what this round has to tell the peers.
+func (d *Dispatcher) share() {
+	if len(d.notes) > 0 {
+		d.out = append(d.out, Action{Kind: Share, Text: string(d.notes)})
+		d.notes = d.notes[:0]
+	}
+}
+
+// handle takes an event to where it is dealt with.
+func (d *Dispatcher) handle(e *Event) {
+	switch e.Kind {
+	case Arrival:
+		d.arrive(e)
+	case Outcome:
+		d.outcome(e)
+	case Withdrawn:
+		if m := d.msgs[e.Message]; m != nil {
+			d.end(m)
+		}
+	case Tick:
+		if m := d.msgs[MessageID(e.Mark-1)]; e.Mark > 0 && m != nil && !m.ended {
+			d.due(m)
+		}
+	case NoteFrom:
+		d.hear(e.Content)
+	case List:
+		d.list(e)
+		d.listed(e.ListKind)
+	}
+}
+
+// begin starts the measures that need the first round's time.
+func (d *Dispatcher) begin() {
+	d.all = meter{tau: demandTau, at: d.now, t0: d.now}
+	for i := range d.tenants {
+		d.tenants[i] = d.all
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -16,6 +16,9 @@
 // maxBody bounds a frame so that a damaged length cannot exhaust memory.
 const maxBody = 1 << 30
 
+// maxNote is the most that a note between instances may hold.
+const maxNote = 256
+
 // Event codes.
 const (
 	evAttach = 16 + iota
@@ -40,7 +43,7 @@
 	acTimer
 	acAskLoad
 	acHangUp
-	_
+	acShare
 	acNoteDown
 	acFatal
 	acTrack
@@ -223,9 +226,9 @@
 		}
 		e.Report = c.report()
 	case evNoteFrom:
-		r.Kind = Other
+		e.Kind = control.NoteFrom
 		c.u16()
-		c.take(int(c.u16()))
+		e.Content = string(c.take(int(c.u16())))
 	default:
 		if c.short {
 			return r, io.ErrUnexpectedEOF
@@ -365,6 +368,12 @@
 	case control.Close:
 		r.head(acHangUp, who)
 		r.endpoint(a.Endpoint)
+	case control.Share:
+		text := a.Text[:min(len(a.Text), maxNote)]
+		r.head(acShare, who)
+		r.body = le.AppendUint32(r.body, math.MaxUint32)
+		r.body = le.AppendUint16(r.body, uint16(len(text)))
+		r.body = append(r.body, text...)
 	case control.Watch:
 		r.head(acTrack, who)
 		r.body = append(r.body, 1)
