Messages that can't be sent any more are answered at once; a told return always ramps

Answers: tries used up, a repeat window or a told wait that outlasts the message's time, an unsafe one in doubt: answered in the same round wherever it lies, at its arrival, too; before, only the head of a lane was looked at, when its destination could send. Refuse carries the told wait within max-retry-after, 0 where none is known. Nothing is kept back to keep clients away. Cause: a peer's told return lifted suspicion without a ramp where the own failure was younger than rules.overload-for, so hundreds let go their holds at once. Now only a return that was judged an outage is told, and whoever hears it ramps. Can't recur by hints: no hint lifts without a ramp.

--- a/control/control.go
+++ b/control/control.go
@@ -65,14 +65,13 @@
 	askLeast    = 16                // ... pauses after a failed one double from this part of it to the former
 	askCheck    = 6                 // a list silent for so many times ask-every is fetched whole, to be sure
 	noteSpend   = 0.01              // of the result may be spent on notes to peers
-	noteHead    = 12                // bytes reckoned for a note itself
+	noteHead    = 16                // bytes reckoned for a note with a hint
 	noteFull    = 256               // bytes that peer-price is for
 	noteMost    = 40                // bytes that may be saved up
 	hintSize    = 4                 // bytes of one hint
 	hintUnit    = 20 * Millisecond  // unit of the wait in it
 	hintHold    = Second / 2        // hold of a destination at its limit where no wait was told
 	spreadMost  = 8 * Second        // a release is spread over this at most
-	hintAgain   = Second            // a failure is told again after this
 	linkFor     = 3 * Second        // notes count as lost when none was heard for so long
 	wakeTicks   = 4                 // ticks between looks at the clock while anything is held or out
 	seldom      = 10 * Second       // how often state without use is looked for and operators are told something
@@ -129,11 +128,7 @@
 		d.tidied = now
 		d.tidy()
 	}
-	if (d.busy > 0 || d.open > 0) && d.wake <= now {
-		after := wakeTicks * d.set.Tick
-		d.wake = now + after
-		d.out = append(d.out, Action{Kind: Timer, After: after})
-	}
+	d.stayAwake()
 	return d.out
 }
 
@@ -242,16 +237,23 @@
 		t.live = true
 		d.live = append(d.live, t)
 	}
+	d.due(m)
 }
 
-// due answers a message whose time is nearly up.
-func (d *Dispatcher) due(m *message) { d.finish(m, true) }
+// due answers a message whose time is nearly up, or that can't be sent any more.
+func (d *Dispatcher) due(m *message) {
+	if d.now+2*d.set.Tick >= m.deadline || m.held && d.spent(m) {
+		d.finish(m, true)
+	}
+}
 
 // finish gives a final answer: handed back, if that is wanted and provably harmless, else failed.
 func (d *Dispatcher) finish(m *message, back bool) {
 	a := Action{Kind: Fail, Message: m.id}
 	if back && d.refusable(m) {
-		a.Kind = Refuse
+		if a.Kind = Refuse; d.set.RetryAfter {
+			a.After = min(max(d.opens(m)-d.now, 0), d.set.MaxRetryAfter)
+		}
 	}
 	d.out = append(d.out, a)
 	d.end(m)
@@ -364,11 +366,7 @@
 		}
 		m = d.head(t, ep, false)
 	}
-	c.left = len(c.msgs)
-	d.busy++
-	t.w++
-	ep.calls = append(ep.calls, c)
-	ep.open, ep.used = true, d.now
+	d.take(c)
 	ep.pace.tokens--
 	if !trial || d.sure(ep) { // the trial that makes sure is not of the ramp
 		ep.push -= 1 + batchExtra*float64(len(c.msgs)-1)
@@ -407,9 +405,6 @@
 	soon := d.now + Time(mean)
 	wait := d.ahead(t)
 	for i := range t.lanes {
-		for len(t.lanes[i]) > 0 && d.spent(t.lanes[i][0]) {
-			d.finish(t.lanes[i][0], true)
-		}
 		if len(t.lanes[i]) == 0 {
 			continue
 		}
@@ -437,12 +432,28 @@
 	return min(max(Time(wait), leastAhead), mostAhead)
 }
 
-// spent tells that no attempt can ever be made again.
+// spent tells that no attempt can ever be made again: the message is answered at once, wherever it lies.
 func (d *Dispatcher) spent(m *message) bool {
-	if m.tries >= d.set.MaxTries || m.doubt && m.class.Effect == SingleShot {
-		return true
+	last := m.deadline
+	if m.doubt && m.class.Effect == Guarded {
+		last = min(last, m.doubtAt+m.class.Window)
+	}
+	used := m.tries >= d.set.MaxTries || m.doubt && m.class.Effect == SingleShot
+	return used || max(d.opens(m), d.now)+d.set.Tick >= last
+}
+
+// opens tells when the first endpoint that the message may go to is past its wait, 0 if none is listed.
+func (d *Dispatcher) opens(m *message) Time {
+	at, any := Time(math.MaxInt64), false
+	for _, ep := range m.dest.eps {
+		if ep.health == Ready && !(m.doubt && m.class.ZoneGroup && ep.zone != m.doubtZone) {
+			at, any = min(at, ep.pace.wait), true
+		}
 	}
-	return m.doubt && m.class.Effect == Guarded && d.now+d.set.Tick >= m.doubtAt+m.class.Window
+	if !any {
+		return 0
+	}
+	return at
 }
 
 // ceiling is the most calls out to one destination: under three quarters of the slots.
@@ -506,6 +517,8 @@
 	if !ranNot(e.Result) && e.Result != OK {
 		if !m.doubt {
 			m.doubt, m.doubtAt, m.doubtZone = true, c.sent, c.ep.zone
+			over := c.sent + m.class.Window - d.set.Tick - d.now
+			d.out = append(d.out, Action{Kind: Timer, After: max(over, 0), Mark: uint64(m.id) + 1})
 		}
 		if m.key != nil && e.Result != Errored {
 			m.key.rest = d.now + d.set.SettleAfterDoubt
@@ -514,8 +527,6 @@
 	switch {
 	case e.Closed || m.ended || e.Result == OK:
 		d.end(m)
-	case d.spent(m) || d.now+2*d.set.Tick >= m.deadline:
-		d.finish(m, true)
 	default:
 		d.hold(m)
 	}
@@ -529,6 +540,7 @@
 	c.left--
 	if e.Wait > 0 { // every outcome's wait binds, also of a call learned from already
 		c.ep.pace.wait = max(c.ep.pace.wait, d.now+e.Wait+d.set.Tick)
+		c.ep.dest.each(d.due) // some have no time left for it
 	}
 	if c.left == len(c.msgs)-1 {
 		d.learn(c, e)
@@ -539,11 +551,7 @@
 	t := c.ep.dest
 	t.acc += (d.now - c.sent).seconds() / d.weight(t)
 	d.revise(t, e.Result)
-	d.busy--
-	t.w--
-	c.ep.calls = slices.DeleteFunc(c.ep.calls, func(o *call) bool { return o == c })
-	c.ep.used = d.now
-	d.left = append(d.left, c.ep)
+	d.free(c)
 }
 
 func (d *Dispatcher) learn(c *call, e *Event) {
@@ -620,10 +628,6 @@
 		ep.dest.kind.again += lostGain * (1 - ep.dest.kind.again)
 	}
 	p.streak, p.fullSince, p.okAt = 0, 0, d.now
-	if ep.suspect && ep.proven && d.now-ep.toldAt > hintAgain {
-		d.tell(ep, 0)
-		ep.toldAt = d.now
-	}
 	d.cleared(ep, c)
 }
 
@@ -643,9 +647,12 @@
 	gone := d.now - ep.downAt
 	switch {
 	case c != nil && !c.trial && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
-	case (d.sure(ep) || ep.proven) && gone > d.set.OverloadFor:
+	case c == nil || (d.sure(ep) || ep.proven) && gone > d.set.OverloadFor: // a peer's outage may be short here
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
-	case c != nil && !ep.proven: // seen, not told by a peer
+		if c != nil {
+			d.tell(ep, 0)
+		}
+	case !ep.proven:
 		k := ep.dest.kind
 		d.lost += float64(ep.bad) * lostGain * (1 - d.lost)
 		if ep.dropped > 0 {
@@ -735,14 +742,10 @@
 // tell adds a hint to the notes of this round, as far as their price allows. A hint is four bytes: a wait, or
 // 0 for a return, and the endpoint's short name.
 func (d *Dispatcher) tell(ep *endpoint, wait Time) {
-	cost := float64(hintSize)
-	if len(d.notes) == 0 {
-		cost += noteHead
-	}
-	if !d.set.Peers || d.noteCredit < cost {
+	if !d.set.Peers || d.noteCredit < noteHead {
 		return
 	}
-	d.noteCredit -= cost
+	d.noteCredit -= noteHead
 	n := hintName(ep.id)
 	d.notes = append(d.notes, byte(min(wait/hintUnit, 255)), byte(n>>16), byte(n>>8), byte(n))
 }
@@ -757,10 +760,8 @@
 		case ep == nil:
 		case wait > 0:
 			d.crowd(ep.pace, wait)
-		default:
-			if ep.toldAt = d.now; ep.proven {
-				d.cleared(ep, nil)
-			}
+		case ep.proven:
+			d.cleared(ep, nil)
 		}
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -40,6 +40,8 @@
 	d   *Dispatcher
 	now Time
 	id  MessageID
+
+	timers []Action // asked for with a mark, After being when they are due
 }
 
 func newRig(t *testing.T, set Settings, entries ...Entry) *rig {
@@ -59,10 +61,22 @@
 	return Entry{Endpoint: ep(dest, n), Dest: dest, Kind: kind, Health: Ready}
 }
 
-// at moves the clock on and plays one round; timers are left out of what is returned.
+// at moves the clock on and plays one round with the ticks due; timers are left out of what is returned.
 func (r *rig) at(after Time, events ...Event) []Action {
 	r.now += after
+	r.timers = slices.DeleteFunc(r.timers, func(a Action) bool {
+		if a.After <= r.now {
+			events = append(events, Event{Kind: Tick, Mark: a.Mark})
+		}
+		return a.After <= r.now
+	})
 	acts := r.d.Step(r.now, events, nil)
+	for _, a := range acts {
+		if a.Kind == Timer && a.Mark != 0 {
+			a.After += r.now
+			r.timers = append(r.timers, a)
+		}
+	}
 	return slices.DeleteFunc(acts, func(a Action) bool { return a.Kind == Timer || a.Kind == Note })
 }
 
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -127,7 +127,7 @@
 		r := newRig(t, set, entry(1, 0, 0))
 		r.wait(20 * s)
 		r.at(0, r.msg(free, 1))
-		r.at(s/10, full(1, 0, 100*s))
+		r.at(s/10, full(1, 0, 10*s))
 		r.d.byNo[1].pace.allow = c.allow
 		acts := append(r.at(s/10, r.msg(free, 1)), r.at(s/10, r.msg(free, 1))...)
 		if len(acts) != 1 || acts[0].Kind != c.want {
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -87,8 +87,7 @@
 	b.at(s/50, done(1, 0, ConnectFailed))
 	b.untilSent(5 * s)
 	b.at(0, done(1, 1, ConnectFailed))
-	b.wait(s / 2)
-	b.d.byID[ep(1, 0)].downAt -= 5 * s
+	a.d.byID[ep(1, 0)].downAt -= 5 * s // here it has lasted longer
 	e := b.d.byID[ep(1, 0)]
 	if !e.suspect || !b.d.sure(e) {
 		t.Fatal("not sure of an outage")
--- a/control/state.go
+++ b/control/state.go
@@ -90,7 +90,6 @@
 	downAt, failedAt    Time    // while suspect: since when; when the last failure was known
 	trialAt, trialGap   Time    // next trial, and how long until the one after
 	coldAt              Time    // start of its ramp, 0 none
-	toldAt              Time    // when its return was told last
 	push, past          float64 // calls that the ramp permits now; demand seen when that was reckoned
 }
 
@@ -443,3 +442,38 @@
 	t.base += baseGain * (lag - t.base)
 	t.kind.lat.add(lag, max(baseGain, 1/(t.kind.lat.n+1)))
 }
+
+// stayAwake asks for a next round while anything is held or out.
+func (d *Dispatcher) stayAwake() {
+	if (d.busy > 0 || d.open > 0) && d.wake <= d.now {
+		after := wakeTicks * d.set.Tick
+		d.wake = d.now + after
+		d.out = append(d.out, Action{Kind: Timer, After: after})
+	}
+}
+
+// take has a call hold a slot, free gives it back.
+func (d *Dispatcher) take(c *call) {
+	c.left = len(c.msgs)
+	d.busy++
+	c.ep.dest.w++
+	c.ep.calls = append(c.ep.calls, c)
+	c.ep.open, c.ep.used = true, d.now
+}
+
+func (d *Dispatcher) free(c *call) {
+	d.busy--
+	c.ep.dest.w--
+	c.ep.calls = slices.DeleteFunc(c.ep.calls, func(o *call) bool { return o == c })
+	c.ep.used = d.now
+	d.left = append(d.left, c.ep)
+}
+
+// each calls f for every message held.
+func (t *dest) each(f func(*message)) {
+	for i := range t.lanes {
+		for _, m := range slices.Clone(t.lanes[i]) {
+			f(m)
+		}
+	}
+}
