Where one endpoint of a destination returns the others that failed stay surely down

From a tap: 19 sends in each half second before, then 140 at one endpoint within half a second of the first ok at its sibling. Cause: an answer or a told return set the failures of the whole destination to none, so its other endpoints with one failure each were no longer sure and everybody's sure-making trial went at once. Now those keep the failures that the destination had. Ruled out: clients that give up (18 arrivals in a half second before and after). Also holds for returns seen alone. Could hurt: a sibling that failed once by chance returns by trials. Test: TestReturnOfOneEndpointLeavesTheOthersSurelyDown.

--- a/control/control.go
+++ b/control/control.go
@@ -639,6 +639,11 @@
 	case c != nil && !c.trial && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
 	case c == nil || (d.sure(ep) || ep.proven) && gone > d.set.OverloadFor: // a peer's outage may be short here
 		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
+		for _, o := range ep.dest.eps { // of the others that failed it stays sure: each has its own return
+			if o.suspect && o.pace == ep.pace {
+				o.bad = max(o.bad, o.pace.bad)
+			}
+		}
 		if c != nil {
 			d.tell(ep, 0)
 		}
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -195,3 +195,21 @@
 		t.Errorf("%d of %d held messages in the first two seconds", sends, held)
 	}
 }
+
+// One endpoint of a destination was told to be back: its siblings were no longer taken as surely down, and all
+// who had one failure there tried them in the same moment.
+func TestReturnOfOneEndpointLeavesTheOthersSurelyDown(t *testing.T) {
+	r := newRig(t, peers(), entry(1, 0, 0), entry(1, 1, 0))
+	r.wait(20 * s)
+	r.want(r.at(0, r.msg(free, 1)), 1)
+	first := r.at(s/50, done(1, 0, ConnectFailed))
+	r.want(first, 1) // the other endpoint
+	r.at(s/50, done(1, 1, ConnectFailed))
+	r.wait(4 * s)
+	a, b := r.d.byID[ep(1, 0)], r.d.byID[ep(1, 1)]
+	n := hintName(a.id)
+	r.at(0, Event{Kind: NoteFrom, Content: string([]byte{0, byte(n >> 16), byte(n >> 8), byte(n)})})
+	if a.suspect || !b.suspect || !r.d.sure(b) {
+		t.Errorf("told back: suspect %v; the other: suspect %v, sure %v", a.suspect, b.suspect, r.d.sure(b))
+	}
+}
