A route's fee weighs in the choice of a route apart

extra.carriage was not read. A fee of the whole result counts as 40 calls in the rank: 0.05 as two calls, less than a queue. Test: TestFeeWeighsInTheChoiceOfARoute.

--- a/control/api.go
+++ b/control/api.go
@@ -96,6 +96,9 @@
 	AskList  bool
 	AskEvery Time
 
+	// Fees: for each zone, the part of the result that a message costs which a route apart there takes on.
+	Fees []float64
+
 	// Peers: dispatchers may send each other notes, which may be late or lost. PeerPrice is the part of the result
 	// that a byte delivered for each message would cost.
 	Peers     bool
--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,7 @@
 	limitLeft   = 0.1               // refused with more than this share of the limit left: not for the limit
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
 	scarceFor   = 30 * Second       // connections count as scarce so long after the last sign of it
+	feeCalls    = 40                // calls that a fee of the whole result counts for in the choice of a route
 	dropsSure   = 0.2               // share of calls on idle connections that fail before they count as dropped
 	keepShare   = 0.8               // idle connections are used up to this part of the age at which one failed
 	keepGrow    = 1.02              // growth of that age by an ok
@@ -780,8 +781,6 @@
 	}
 }
 
-// ---- connections ----
-
 // keep is the age up to which an idle connection is used.
 func (d *Dispatcher) keep(t *dest) Time {
 	return min(d.set.ConnIdle, Time(keepShare*float64(t.kind.keep)))
@@ -814,8 +813,6 @@
 	return 0
 }
 
-// ---- health ----
-
 // watch judges calls still out by their age and gives up those overtaken by later ones or at a suspect: those
 // whose messages can go again, others only where messages wait for slots. Guards against hangs, lost answers
 // and dead connections. It could hurt a slow destination, where work is done twice; trials wait longer.
@@ -889,12 +886,15 @@
 	return best, false
 }
 
-// rank is the load of an endpoint in calls; a handshake or a crossing counts as one more.
+// rank is the load of an endpoint in calls; a handshake or a crossing counts as one more, a fee as some.
 func (d *Dispatcher) rank(ep *endpoint) float64 {
 	v := float64(len(ep.calls))
 	if ep.zone != d.set.Zone {
 		v++
 	}
+	if z := ep.zone; ep.pace != ep.dest.pace && z >= 0 && z < len(d.set.Fees) {
+		v += feeCalls * d.set.Fees[z]
+	}
 	if len(ep.calls) == 0 && (!ep.open || d.now-ep.used > d.keep(ep.dest)) {
 		v++
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -173,6 +173,9 @@
 		"classes.0.late-worth":     func(s *Settings) { s.Classes[0].LateWorth = math.NaN() },
 		"tenants.0.quota-per-s":    func(s *Settings) { s.Tenants = []Tenant{{Quota: -1}} },
 		"extra.batch-by-kind":      func(s *Settings) { s.Kinds[0].Batch = 0 },
+		"extra.carriage":           func(s *Settings) { s.Fees = []float64{-1} },
+		"rules.ask-every":          func(s *Settings) { s.AskEvery = -1 },
+		"deductions.peer":          func(s *Settings) { s.PeerPrice = math.NaN() },
 		"rules.settle-after-doubt": func(s *Settings) { s.SettleAfterDoubt = -1 },
 	} {
 		set := testSettings()
@@ -730,3 +733,17 @@
 		t.Errorf("%d of 300 messages of the busy destination went out", served)
 	}
 }
+
+// Of two free routes the one without a fee is taken, though it is in another zone; a plain destination pays none.
+func TestFeeWeighsInTheChoiceOfARoute(t *testing.T) {
+	for kind, want := range map[int]int{2: 1, 0: 0} {
+		set := testSettings()
+		set.Fees = []float64{0.05, 0}
+		far := entry(1, 1, kind)
+		far.Zone = 1
+		r := newRig(t, set, entry(1, 0, kind), far)
+		if acts := r.at(0, r.msg(free, 1)); acts[0].Endpoint != ep(1, want) {
+			t.Errorf("kind %d: sent to %d, want endpoint %d", kind, acts[0].Endpoint, want)
+		}
+	}
+}
--- a/control/settings.go
+++ b/control/settings.go
@@ -41,6 +41,9 @@
 	for i, t := range s.Tenants {
 		figures = append(figures, figure{fmt.Sprintf("tenants.%d.quota-per-s", i), t.Quota})
 	}
+	for _, f := range s.Fees {
+		figures = append(figures, figure{"extra.carriage", f})
+	}
 	for _, k := range s.Kinds {
 		figures = append(figures, figure{"extra.batch-by-kind", float64(k.Batch - 1)})
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -108,6 +108,13 @@
 			s.ReportLimit = i
 		}
 	}
+	for _, text := range p.list("extra.carriage") {
+		fee, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(fee >= 0) || math.IsInf(fee, 0) {
+			p.fault("extra.carriage", fmt.Sprintf("%q is out of range", text))
+		}
+		s.Fees = append(s.Fees, fee)
+	}
 	p.kinds(&s)
 	p.classes(&s)
 	for i := range p.count("tenants.count", false, 0) {
