--- a/control/control.go
+++ b/control/control.go
@@ -571,7 +571,6 @@
 		if ep.errs++; ep.errs >= failStreak {
 			d.failed(ep, c, false)
 		}
-		ep.restTo = d.now + d.jitter(min(backoffBase<<min(ep.errs, 6), backoffMost)) // tries cost it, too
 	}
 }
 
@@ -727,7 +726,7 @@
 	case wait == 0:
 		base := max(backoffBase, Time(min(float64(d.aim), float64(Second)/want)/2))
 		pause := min(base<<min(p.streak-1, 6), backoffMost)
-		p.wait = max(p.wait, d.now+d.jitter(pause))
+		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)/2))
 		fallthrough
 	default:
 		p.tokens = min(p.tokens, d.random()) // retries, too, stay within the share
@@ -871,7 +870,7 @@
 // choose picks an endpoint: a trial that is due, else the least loaded, warm and near one.
 func (d *Dispatcher) choose(t *dest) (best *endpoint, trial bool) {
 	for _, ep := range t.eps {
-		if ep.health != Ready || d.now < max(ep.pace.wait, ep.restTo) || !d.paced(ep) {
+		if ep.health != Ready || d.now < ep.pace.wait || !d.paced(ep) {
 			continue
 		}
 		if ep.suspect {
--- a/control/state.go
+++ b/control/state.go
@@ -86,7 +86,6 @@
 	used, heard, okSent Time    // last use; last answer; send time of the newest call answered ok
 	bad, errs           int     // calls in a row that met nobody or silence; answers in a row that were errors
 	suspect, proven     bool    // not fed; its last failure proved that calls do not run
-	restTo              Time    // after an error nothing is sent until then
 	dropped             Time    // idle age of the connection on which the last failed call went out
 	downAt, failedAt    Time    // while suspect: since when; when the last failure was known
 	trialAt, trialGap   Time    // next trial, and how long until the one after
@@ -228,9 +227,6 @@
 	return float64(d.rng>>11) / (1 << 53)
 }
 
-// jitter returns a span of half to all of the one given.
-func (d *Dispatcher) jitter(span Time) Time { return span/2 + Time(d.random()*float64(span)/2) }
-
 func (d *Dispatcher) newPace() *pace {
 	return &pace{at: d.now, tokens: 1, allow: unfelt, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
 }
