--- a/control/control.go
+++ b/control/control.go
@@ -716,11 +716,9 @@
 	}
 	want := ep.dest.demand.rate(d.now)
 	span := min(max(wait, hintHold), backoffMost)
-	if spent && d.now >= p.holdTo {
-		d.tell(ep, span)
-	}
+	told := spent && (d.now < p.holdTo || d.tell(ep, span))
 	switch {
-	case spent && d.set.Peers && d.now-d.noteHeard < linkFor: // all hold together, then this one may go again
+	case told && d.now-d.noteHeard < linkFor: // all hold together, then this one may go again
 		d.crowd(p, span)
 		p.tokens++
 	case wait == 0:
@@ -740,13 +738,14 @@
 
 // tell adds a hint to the notes of this round, as far as their price allows. A hint is four bytes: a wait, or
 // 0 for a return, and the endpoint's short name.
-func (d *Dispatcher) tell(ep *endpoint, wait Time) {
+func (d *Dispatcher) tell(ep *endpoint, wait Time) bool {
 	if !d.set.Peers || d.noteCredit < noteHead {
-		return
+		return false
 	}
 	d.noteCredit -= noteHead
 	n := hintName(ep.id)
 	d.notes = append(d.notes, byte(min(wait/hintUnit, 255)), byte(n>>16), byte(n>>8), byte(n))
+	return true
 }
 
 // hear takes a peer's hints. They are never proof, and all works without any. They tell what one sender sees
