--- a/control/control.go
+++ b/control/control.go
@@ -65,7 +65,7 @@
 	askSpread   = 2                 // the first asking for the list is spread over ask-every by this, and ...
 	askLeast    = 16                // ... pauses after a failed one double from this part of it to the former
 	askCheck    = 6                 // a list silent for so many times ask-every is fetched whole, to be sure
-	noteSpend   = 0.01              // of the result may be spent on notes to peers
+	noteSpend   = 0.02              // of the result may be spent on notes to peers
 	noteHead    = 16                // bytes reckoned for a note with a hint
 	noteMost    = 40                // bytes that may be saved up
 	hintSize    = 4                 // bytes of one hint
