A told return is of this moment, and ramps keep to a known limit

From a tap: 2 to 4 sends in a half second before, 30 after the first ok; arrivals 26 a second at a limit of 6.9, before and after. Cause: who heard of the return reckoned it half way back to the own last failure, 5 to 17 s before, so ramps began at half to full warmth; and demand of four times the limit was ramped as demand. Now a told return counts from the moment it is heard, and the demand that a ramp follows is bounded by the even share of a known limit. Ruled out: replaced endpoints (both of 166 were old). Could hurt uneven senders. Tests: TestToldReturnIsOfThisMoment, TestRampKeepsToAKnownLimit, TestFiguresOutOfRangeAreHarmless.

--- a/control/control.go
+++ b/control/control.go
@@ -167,8 +167,6 @@
 	}
 }
 
-// ---- arrival, hold, end ----
-
 func (d *Dispatcher) arrive(e *Event) {
 	if d.msgs[e.Message] != nil {
 		return
@@ -542,7 +540,7 @@
 
 func (d *Dispatcher) learn(c *call, e *Event) {
 	ep, t := c.ep, c.ep.dest
-	if i := d.set.ReportLimit; i >= 0 && i < len(e.Report) && e.Report[i] > 0 {
+	if i := d.set.ReportLimit; i >= 0 && i < len(e.Report) && e.Report[i] > 0 && e.Report[i] <= math.MaxFloat32 {
 		ep.pace.bound = float64(e.Report[i])
 	}
 	switch e.Result {
@@ -611,7 +609,6 @@
 	d.cleared(ep, c)
 }
 
-// cleared lifts suspicion by an answer, or by a hint where c is nil.
 func (d *Dispatcher) cleared(ep *endpoint, c *call) {
 	if ep.suspect {
 		d.returned(ep, c)
@@ -639,15 +636,17 @@
 	switch {
 	case c != nil && !c.trial && gone <= 2*d.set.OverloadFor: // late, not lost: it is slow
 	case c == nil || (d.sure(ep) || ep.proven) && gone > d.set.OverloadFor: // a peer's outage may be short here
-		d.chill(ep, d.now-(d.now-ep.failedAt)/2)
+		back := d.now
+		if c != nil {
+			back -= (d.now - ep.failedAt) / 2
+			d.tell(ep, 0)
+		}
+		d.chill(ep, back)
 		for _, o := range ep.dest.eps { // of the others that failed it stays sure: each has its own return
 			if o.suspect && o.pace == ep.pace {
 				o.bad = max(o.bad, o.pace.bad)
 			}
 		}
-		if c != nil {
-			d.tell(ep, 0)
-		}
 	case !ep.proven:
 		k := ep.dest.kind
 		d.lost += float64(ep.bad) * lostGain * (1 - d.lost)
@@ -734,8 +733,6 @@
 	}
 }
 
-// ---- hints between peers ----
-
 // tell adds a hint to the notes of this round, as far as their price allows. A hint is four bytes: a wait, or
 // 0 for a return, and the endpoint's short name.
 func (d *Dispatcher) tell(ep *endpoint, wait Time) bool {
@@ -939,6 +936,9 @@
 		return true
 	}
 	want := ep.dest.demand.credit(d.now, &ep.past) / float64(max(ep.dest.ready(), 1))
+	if b := ep.pace.bound; b > 0 { // demand over a known limit does not make it stronger
+		want *= min(1, b/(float64(d.set.Instances)*max(ep.dest.demand.rate(d.now), b/math.MaxInt32)))
+	}
 	ep.push = min(ep.push+warmth*want, 1)
 	return ep.push >= 1
 }
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"slices"
 	"testing"
 )
@@ -213,3 +214,72 @@
 		t.Errorf("told back: suspect %v; the other: suspect %v, sure %v", a.suspect, b.suspect, r.d.sure(b))
 	}
 }
+
+// Figures that are no numbers, in reports and lists, once could stop a destination for good.
+func TestFiguresOutOfRangeAreHarmless(t *testing.T) {
+	inf, nan := float32(math.Inf(1)), float32(math.NaN())
+	for _, rep := range [][]float32{{nan, nan}, {inf, inf}, {-1, -1}, {0, inf}, {nan}, {}} {
+		set := peers()
+		set.Weights = WeightNominal
+		e := entry(1, 0, 0)
+		e.Weight = float64(inf)
+		r := newRig(t, set, e)
+		for range 4 {
+			r.want(r.at(s/10, r.msg(free, 1)), r.id)
+			end := done(r.id, 0, OK)
+			end.Report = rep
+			r.at(0, end)
+			r.at(0, r.msg(free, 1)) // two rounds at one instant
+			r.at(s, done(r.id, 0, OK))
+		}
+	}
+}
+
+// A return told by a peer is one of this moment, however long ago the own failure was; and demand over a known
+// limit does not make the ramp steeper.
+func TestToldReturnIsOfThisMoment(t *testing.T) {
+	r := newRig(t, peers(), entry(1, 0, 0))
+	r.want(r.at(0, r.msg(free, 1)), 1)
+	r.at(s/50, done(1, 0, ConnectFailed), Event{Kind: Withdrawn, Message: 1})
+	r.wait(15 * s)
+	e := r.d.byID[ep(1, 0)]
+	n := hintName(e.id)
+	r.at(0, Event{Kind: NoteFrom, Content: string([]byte{0, byte(n >> 16), byte(n >> 8), byte(n)})})
+	if e.coldAt != r.now {
+		t.Errorf("ramp since %v, told at %v", e.coldAt, r.now)
+	}
+}
+
+func TestRampKeepsToAKnownLimit(t *testing.T) {
+	sends := 0
+	set := testSettings()
+	set.Weights = WeightNominal
+	e := entry(1, 0, 0)
+	e.Weight = 10
+	const n = 20 // asked for 2 a second each, 40 a second in all at a limit of 10
+	for _, r := range fleet(t, n, set, e) {
+		for i := range 400 {
+			var events []Event
+			if i%10 == 0 {
+				events = append(events, r.msg(free, 1))
+			}
+			for _, id := range sent(r.at(s/20, events...)) {
+				r.at(0, done(id, 0, OK))
+			}
+		}
+		r.d.chill(r.d.byID[ep(1, 0)], r.now)
+		for i := range 40 {
+			var events []Event
+			if i%10 == 0 {
+				events = append(events, r.msg(free, 1))
+			}
+			for _, id := range sent(r.at(s/20, events...)) {
+				sends++
+				r.at(0, done(id, r.d.msgs[id].tries-1, OK))
+			}
+		}
+	}
+	if sends > 20 { // 10 a second at a third of the warmth, and chance
+		t.Errorf("%d calls in two seconds", sends)
+	}
+}
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -54,7 +54,7 @@
 			j.marks = append(j.marks, a)
 		}
 		return
-	case Note, Close:
+	case Note, Close, Watch, Fetch, Share:
 		return
 	}
 	if m == nil {
@@ -120,7 +120,7 @@
 		}
 	}
 	return Event{Kind: Outcome, Message: m.id, Attempt: m.tries - 1, Endpoint: m.ep, Result: res, Closed: m.ended,
-		Lag: j.now - m.round, Wait: wait}
+		Lag: j.now - m.round, Wait: wait, Report: []float32{float32(j.now%3) / 2, 5}}
 }
 
 // Random events, legal and not, for several seeds: whatever comes, the rules hold and each message has one answer.
@@ -135,6 +135,11 @@
 	set := testSettings()
 	set.Slots, set.MaxOpen, set.Instances = 2+rng.Intn(8), 16+rng.Intn(60), 1+rng.Intn(40)
 	set.Tick = 20 * Millisecond
+	if seed%2 == 1 { // the newer settings
+		set.AskList, set.AskEvery, set.Peers, set.PeerPrice = true, 10*s, true, 0.01/256
+		set.RetryAfter, set.MaxRetryAfter, set.ReportLeft, set.ReportLimit = true, 3*s, 0, 1
+		set.Fees = []float64{0.05}
+	}
 	d, err := New(set, uint64(seed))
 	if err != nil {
 		t.Fatal(err)
@@ -212,6 +217,9 @@
 	class := rng.Intn(4)
 	m := &judged{id: MessageID(len(j.msgs) + 1), class: &j.set.Classes[class], dest: 1 + rng.Intn(4)}
 	grace := Time(1+rng.Intn(20)) * s
+	if rng.Intn(4) == 0 {
+		grace = Time(rng.Intn(1500)) * Millisecond // short patience
+	}
 	m.deadline = j.now + grace
 	if m.class.InOrder {
 		m.key = uint64(1 + m.dest)
@@ -231,6 +239,9 @@
 		return []Event{{Kind: Tick, Mark: 1e12}, {Kind: Probed, Endpoint: 999}, {Kind: EventKind(77)}}
 	case 2:
 		return []Event{done(MessageID(1+rng.Intn(50)), 90, OK), {Kind: List, ListKind: ListFailed}}
+	case 3:
+		n := hintName(ep(1+rng.Intn(4), rng.Intn(3)))
+		return []Event{{Kind: NoteFrom, Content: string([]byte{byte(rng.Intn(256)), byte(n >> 16), byte(n >> 8), byte(n), 7})}}
 	}
 	return nil
 }
--- a/control/state.go
+++ b/control/state.go
@@ -347,7 +347,7 @@
 		t.eps = append(t.eps, ep)
 	}
 	ep.zone, ep.health = n.Zone, n.Health
-	if n.Weight > 0 && d.set.Weights != WeightNone {
+	if n.Weight > 0 && n.Weight <= math.MaxFloat32 && d.set.Weights != WeightNone {
 		t.share = n.Weight
 		ep.pace.bound = n.Weight * d.slack
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -147,3 +147,51 @@
 		t.Errorf("reply %x, want %x", out.Bytes(), want)
 	}
 }
+
+// Asking for the list, telling peers and hearing them, as the protocol note has them.
+func TestListAndNoteRecords(t *testing.T) {
+	var r Reply
+	r.Add(3, control.Action{Kind: control.Watch})
+	r.Add(3, control.Action{Kind: control.Fetch})
+	r.Add(3, control.Action{Kind: control.Share, Text: "hi 7"})
+	r.Add(3, control.Action{Kind: control.Share, Text: strings.Repeat("x", 300)})
+	want := unhex(t, "1a 0300 01  1b 0300  17 0300 ffffffff 0400 68692037  17 0300 ffffffff 0001")
+	if !bytes.HasPrefix(r.body, want) || len(r.body) != len(want)+maxNote {
+		t.Errorf("encoded %x, %d bytes", r.body[:len(want)], len(r.body))
+	}
+	frame := func(body string) []byte {
+		b := unhex(t, body)
+		head := append(unhex(t, "01000000"), byte(len(b)), 0, 0, 0, 1, 0, 0, 0)
+		return append(append(head, unhex(t, "5a5c800000000000")...), b...)
+	}
+	b, err := NewDecoder(bytes.NewReader(frame("18 0300 0200 0400 68692037"))).Next()
+	if err != nil || len(b.Records) != 1 || b.Records[0].Event.Kind != control.NoteFrom ||
+		b.Records[0].Event.Content != "hi 7" || b.Records[0].Instance != 3 {
+		t.Errorf("note %+v, %v", b.Records, err)
+	}
+	if _, err = NewDecoder(bytes.NewReader(frame("18 0300 0200 0900 68692037"))).Next(); err == nil ||
+		!strings.Contains(err.Error(), "record 0") {
+		t.Errorf("a note cut short: %v", err)
+	}
+}
+
+func TestAskPeerAndFeeSettings(t *testing.T) {
+	base := "instances=2\ntick=5000\nextra.slots=4\nlimits.max-open=9\nlimits.most-tries=3\nclasses.count=1\n" +
+		"classes.0.effect=free\nclasses.0.gain=1\nclasses.0.target=1\nclasses.0.hard-limit=2\n"
+	s, err := ParseSettings(base + "membership-mode=subscribe\nrules.ask-every=10000000\nlimits.peer-messages=true\n" +
+		"deductions.peer=0.01\nextra.carriage=0.0,0.05\n")
+	if err != nil || !s.AskList || s.AskEvery != 10*control.Second || !s.Peers || s.PeerPrice != 0.01/256 ||
+		len(s.Fees) != 2 || s.Fees[1] != 0.05 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if s, err = ParseSettings(base + "membership-mode=automatic\n"); err != nil || s.AskList || s.Peers || s.Fees != nil {
+		t.Errorf("%+v, %v", s, err)
+	}
+	for key, line := range map[string]string{
+		"extra.carriage": "extra.carriage=0,NaN", "rules.ask-every": "rules.ask-every=x", "deductions.peer": "deductions.peer=-1",
+	} {
+		if _, err := ParseSettings(base + line + "\n"); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+}
