--- a/control/control.go
+++ b/control/control.go
@@ -48,8 +48,6 @@
 	rampMargin  = 1.2               // a ramp's rate over own demand x warmth, and at most this part ...
 	tipPart     = 0.6               // ... of tip-multiple, lest chance alone reaches it
 	fairShare   = 0.8               // part of an even share of a known limit that a sender may always use
-	briefLeft   = 0.8               // refused with more than this: only for a moment, so long as ...
-	briefCalls  = 2                 // ... so many calls of the limit take
 	limitLeft   = 0.1               // refused with more than this share of the limit left: not for the limit
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
 	scarceFor   = 30 * Second       // connections count as scarce so long after the last sign of it
@@ -551,18 +549,16 @@
 		d.succeeded(ep, c)
 	case Full:
 		ep.heard = d.now
-		left := float32(limitLeft)
-		if i := d.set.ReportLeft; ep.pace.bound > 0 && i >= 0 && i < len(e.Report) {
-			left = e.Report[i]
-		}
-		d.refused(ep, c, e.Wait, left < limitLeft, left > briefLeft && ep.pace.streak < 2)
+		left := d.set.ReportLeft
+		known := ep.pace.bound > 0 && left >= 0 && left < len(e.Report)
+		d.refused(ep, c, e.Wait, known && e.Report[left] < limitLeft)
 	case ConnectFailed:
 		// An outage, or all its connections are taken. Idle ones of many senders fill a table made for calls.
 		if d.set.Instances > d.set.Slots {
 			t.kind.scarce = d.now + scarceFor
 		}
 		if ep.bad == 0 && len(ep.calls) > 1 && d.now-ep.heard < d.silence(t) {
-			d.refused(ep, c, 0, false, false) // others are answered: no outage
+			d.refused(ep, c, 0, false) // others are answered: no outage
 			return
 		}
 		d.failed(ep, c, true)
@@ -700,7 +696,7 @@
 }
 
 // refused learns from a refusal: waits are kept, a smaller share of the own demand is let go.
-func (d *Dispatcher) refused(ep *endpoint, c *call, wait Time, spent, brief bool) {
+func (d *Dispatcher) refused(ep *endpoint, c *call, wait Time, spent bool) {
 	p, k := ep.pace, ep.dest.kind
 	if spent && wait <= d.set.OverloadFor {
 		p.fullSince = 0
@@ -724,10 +720,6 @@
 	case told && d.now-d.noteHeard < linkFor: // all hold together, then this one may go again
 		d.crowd(p, span)
 		p.tokens++
-	case brief: // most of the limit was left a moment before: another's call took the rest, it comes back soon
-		pause := max(backoffBase, Time(briefCalls*float64(Second)/p.bound))
-		p.wait = max(p.wait, d.now+pause/2+Time(d.random()*float64(pause)))
-		p.tokens++
 	case wait == 0:
 		base := max(backoffBase, Time(min(float64(d.aim), float64(Second)/want)/2))
 		pause := min(base<<min(p.streak-1, 6), backoffMost)
