Two refusals in a row at a known limit are told though the report shows some left

Change: such refusals hold the fleet, too, at endpoints that are well, for two in a row: a shut destination shows its limit as left as well.

--- a/control/control.go
+++ b/control/control.go
@@ -294,8 +294,6 @@
 	}
 }
 
-// ---- ordinary path: turns and windows ----
-
 // dispatch hands free slots to the destinations with the smallest counters.
 func (d *Dispatcher) dispatch() {
 	for {
@@ -715,7 +713,8 @@
 	}
 	want := ep.dest.demand.rate(d.now)
 	span := min(max(wait, hintHold), backoffMost)
-	told := spent && (d.now < p.holdTo || d.tell(ep, span))
+	used := spent || p.bound > 0 && p.streak <= sureAfter && !ill(ep) // the report may be late
+	told := used && (d.now < p.holdTo || d.tell(ep, span))
 	switch {
 	case told && d.now-d.noteHeard < linkFor: // all hold together, then this one may go again
 		d.crowd(p, span)
