--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -272,3 +272,26 @@
 		t.Errorf("aim %v", d.aim)
 	}
 }
+
+// Replaced endpoints, failed lists and notes, over many cycles: nothing is kept of them.
+func TestStateDoesNotGrowWithNotesAndFailedLists(t *testing.T) {
+	set := peers()
+	set.AskList, set.AskEvery = true, 10*s
+	r := newRig(t, set, entry(1, 0, 2))
+	for i := range 200 {
+		n := hintName(ep(1, i+2))
+		r.at(s/10, Event{Kind: List, ListKind: ListFull, Entries: []Entry{entry(1, i+2, 2)}}, Event{Kind: List, ListKind: ListFailed})
+		m := r.msg(free, 1)
+		r.at(s/10, m, Event{Kind: NoteFrom, Content: string([]byte{byte(i), byte(n >> 16), byte(n >> 8), byte(n)})})
+		r.wait(s)
+		if r.d.msgs[m.Message] != nil && r.d.msgs[m.Message].out != nil {
+			r.at(0, usedUp(m.Message, r.d.msgs[m.Message].tries-1, 0))
+		}
+		r.at(s/10, Event{Kind: Withdrawn, Message: m.Message})
+	}
+	r.wait(3 * seldom)
+	if d := r.d; len(d.byHint) > 2 || len(d.byID) > 2 || len(d.notes) > 0 || len(d.msgs) > 0 || len(r.timers) > 40 {
+		t.Errorf("left: %d names, %d endpoints, %d bytes of notes, %d messages, %d timers",
+			len(d.byHint), len(d.byID), len(d.notes), len(d.msgs), len(r.timers))
+	}
+}
