--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -12,7 +12,7 @@
 	set   Settings
 	now   Time
 	msgs  map[MessageID]*judged
-	wait  map[int]Time      // until when a destination told to wait
+	wait  map[int]Time      // until when a destination, or a route apart, told to wait
 	ready map[Endpoint]bool // listed ready
 	calls map[[2]int64]int  // messages out by round and endpoint: one call
 	order map[uint64][]*judged
@@ -74,7 +74,7 @@
 func (j *judge) send(m *judged, a Action) {
 	j.check(!m.ended && !m.out, m, "sent though ended or out")
 	j.check(j.ready[a.Endpoint] && int(a.Endpoint)/10 == m.dest, m, "sent to an endpoint not listed ready")
-	j.check(j.now >= j.wait[m.dest], m, "sent during a told wait")
+	j.check(j.now >= j.wait[bound(m.dest, a.Endpoint)], m, "sent during a told wait")
 	j.check(m.tries < j.set.MaxTries && j.now < m.deadline, m, "sent too often or too late")
 	if m.doubt {
 		j.check(m.class.Effect != SingleShot, m, "unsafe message sent again in doubt")
@@ -96,6 +96,17 @@
 	j.check(len(j.calls) <= j.set.Slots, m, "more calls than slots")
 }
 
+// apart is the destination of the random plays whose endpoints are routes apart.
+const apart = 4
+
+// bound is what a told wait binds: the destination, or the route where routes are apart.
+func bound(dest int, e Endpoint) int {
+	if dest == apart {
+		return int(e)
+	}
+	return -dest
+}
+
 // resolve makes the outcome of one attempt out and notes what it tells.
 func (j *judge) resolve(m *judged, res Result, wait Time) Event {
 	m.out = false
@@ -108,7 +119,8 @@
 		m.ended = true
 	case Full:
 		if wait > 0 {
-			j.wait[m.dest] = max(j.wait[m.dest], j.now+wait)
+			k := bound(m.dest, m.ep)
+			j.wait[k] = max(j.wait[k], j.now+wait)
 		}
 	case ConnectFailed:
 	default:
@@ -157,7 +169,9 @@
 		}
 		if round == 0 || rng.Intn(100) == 0 {
 			e := entry(1+rng.Intn(4), rng.Intn(3), rng.Intn(2))
-			e.Health = Health(rng.Intn(3))
+			if e.Health = Health(rng.Intn(3)); e.Dest == apart {
+				e.Kind = 2
+			}
 			if round < 3 {
 				e.Health = Ready
 			}
