--- a/control/control.go
+++ b/control/control.go
@@ -290,7 +290,7 @@
 		least := math.Inf(1)
 		all := d.byAcc.items
 		for k := range min(len(all), shedLooks) {
-			t := all[(d.shedAt+k)%len(all)]
+			t := all[(d.shedAt+k)%len(all)].t
 			ahead := d.ahead(t)
 			for i := range t.lanes {
 				l := t.lanes[i]
--- a/control/plays_test.go
+++ b/control/plays_test.go
@@ -273,7 +273,7 @@
 
 // BenchmarkLive is one message of the busy destination, in two rounds, beside destinations that hold a message.
 func BenchmarkLive(b *testing.B) {
-	for _, n := range []int{100, 1000, 10000, 20000} {
+	for _, n := range []int{100, 1000, 10000, 20000, 100000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			d := size(b, n+1, n, 256)
 			benchBusy(b, d)
--- a/control/state.go
+++ b/control/state.go
@@ -147,6 +147,7 @@
 	live          bool   // messages were held or out since the last round
 	seq, list     uint64 // place among the live ones; the list that its first window is by
 	at            [4]int // places in the orders, counted from 1
+	calls         bool   // it is among those with calls out
 	cost          float64
 	lookAt        Time // asleep until then: nothing can be released
 	asleep        bool
@@ -218,32 +219,37 @@
 	m.held = false
 }
 
-// order is a heap of destinations. Each knows its place in it.
+// order is a heap of destinations. Each knows its place in it. Keys stand in the heap as they were when each was last
+// set: a comparison then reads one array and calls nothing, which is what a round mostly does.
 type order struct {
 	of    int
 	key   func(*dest) float64
-	items []*dest
+	items []spot
+}
+
+type spot struct {
+	key float64
+	t   *dest
 }
 
 func (o *order) Len() int { return len(o.items) }
 func (o *order) Less(i, j int) bool {
-	a, b := o.items[i], o.items[j]
-	ka, kb := o.key(a), o.key(b)
-	return ka < kb || ka == kb && a.seq < b.seq
+	a, b := &o.items[i], &o.items[j]
+	return a.key < b.key || a.key == b.key && a.t.seq < b.t.seq
 }
 func (o *order) Swap(i, j int) {
 	o.items[i], o.items[j] = o.items[j], o.items[i]
-	o.items[i].at[o.of], o.items[j].at[o.of] = i+1, j+1
+	o.items[i].t.at[o.of], o.items[j].t.at[o.of] = i+1, j+1
 }
 func (o *order) Push(x any) {
 	t := x.(*dest)
-	o.items = append(o.items, t)
+	o.items = append(o.items, spot{o.key(t), t})
 	t.at[o.of] = len(o.items)
 }
 func (o *order) Pop() any {
 	n := len(o.items) - 1
-	t := o.items[n]
-	o.items[n] = nil
+	t := o.items[n].t
+	o.items[n] = spot{}
 	o.items = o.items[:n]
 	t.at[o.of] = 0
 	return t
@@ -255,7 +261,10 @@
 	case in && at == 0:
 		heap.Push(o, t)
 	case in:
-		heap.Fix(o, at-1)
+		if k := o.key(t); o.items[at-1].key != k {
+			o.items[at-1].key = k
+			heap.Fix(o, at-1)
+		}
 	case at > 0:
 		heap.Remove(o, at-1)
 	}
@@ -266,12 +275,12 @@
 	switch n := len(o.items); {
 	case n == 0:
 		return math.Inf(1)
-	case o.items[0] != but:
-		return o.key(o.items[0])
+	case o.items[0].t != but:
+		return o.items[0].key
 	default: // it is at the top: the next is one of the two below
 		v := math.Inf(1)
-		for _, t := range o.items[1:min(3, n)] {
-			v = min(v, o.key(t))
+		for _, s := range o.items[1:min(3, n)] {
+			v = min(v, s.key)
 		}
 		return v
 	}
@@ -294,11 +303,14 @@
 		d.costs.set(t, awake)
 	}
 	d.naps.set(t, t.asleep)
-	i, in := slices.BinarySearchFunc(d.calling, t.seq, func(o *dest, seq uint64) int { return cmp.Compare(o.seq, seq) })
-	if t.w > 0 && !in {
-		d.calling = slices.Insert(d.calling, i, t)
-	} else if t.w == 0 && in {
-		d.calling = slices.Delete(d.calling, i, i+1)
+	if calls := t.w > 0; calls != t.calls {
+		t.calls = calls
+		i, _ := slices.BinarySearchFunc(d.calling, t.seq, func(o *dest, seq uint64) int { return cmp.Compare(o.seq, seq) })
+		if calls {
+			d.calling = slices.Insert(d.calling, i, t)
+		} else {
+			d.calling = slices.Delete(d.calling, i, i+1)
+		}
 	}
 }
 
@@ -310,8 +322,8 @@
 
 // rouse wakes the destinations whose time has come.
 func (d *Dispatcher) rouse() {
-	for len(d.naps.items) > 0 && d.naps.items[0].lookAt <= d.now {
-		d.awaken(d.naps.items[0])
+	for len(d.naps.items) > 0 && d.naps.items[0].t.lookAt <= d.now {
+		d.awaken(d.naps.items[0].t)
 	}
 }
 
@@ -332,30 +344,30 @@
 		if len(d.turns.items) == 0 {
 			return nil
 		}
-		return d.turns.items[0]
+		return d.turns.items[0].t
 	}
 	if len(d.turns.items) <= shedLooks {
-		for _, t := range d.costs.items {
-			t.at[d.costs.of] = 0
+		for _, s := range d.costs.items {
+			s.t.at[d.costs.of] = 0
 		}
 		d.costs.items = d.costs.items[:0]
 		var best *dest
 		least := math.Inf(1)
-		for _, t := range d.turns.items {
-			if v := d.tag(t); v < least || v == least && t.seq < best.seq {
-				best, least = t, v
+		for _, s := range d.turns.items {
+			if v := d.tag(s.t); v < least || v == least && s.t.seq < best.seq {
+				best, least = s.t, v
 			}
 		}
 		return best
 	}
 	if len(d.costs.items) == 0 {
-		for _, t := range d.turns.items {
-			t.cost = d.tag(t)
-			d.costs.set(t, true)
+		for _, s := range d.turns.items {
+			s.t.cost = d.tag(s.t)
+			d.costs.set(s.t, true)
 		}
 	}
 	for {
-		t := d.costs.items[0]
+		t := d.costs.items[0].t
 		cost := d.tag(t)
 		if cost <= t.cost {
 			return t
@@ -692,8 +704,8 @@
 	after, n := wakeTicks*d.set.Tick, d.naps.items
 	switch {
 	case d.busy > 0:
-	case len(n) > 0 && n[0].lookAt < never:
-		after = max(n[0].lookAt-d.now, after) // what is polled needs no more than that
+	case len(n) > 0 && n[0].t.lookAt < never:
+		after = max(n[0].t.lookAt-d.now, after) // what is polled needs no more than that
 	default:
 		return
 	}
--- a/internal/day/check.go
+++ b/internal/day/check.go
@@ -263,22 +263,37 @@
 	}
 }
 
-// drains is rule 3: nothing new later than the grace after a drain or departure was told.
+// drains is rule 3: nothing new later than the grace after a drain or departure was told. Partners of a wave share
+// endpoints, of which one list tells the same for each: it is checked once, a rebuild tells tens of thousands.
 func (c *checker) drains() {
 	grace := time.Duration(c.r.Rules.StopSendingWithin) * time.Microsecond
+	tried := map[netip.AddrPort][]*attempt{}
+	for _, a := range c.attempts {
+		tried[a.arrived.Endpoint] = append(tried[a.arrived.Endpoint], a)
+	}
+	told := map[netip.AddrPort][]Told{}
 	for _, t := range c.r.Told {
-		if t.Health == control.Ready {
-			continue
+		of := told[t.Endpoint]
+		if n := len(of); n == 0 || of[n-1].At != t.At || of[n-1].Health != t.Health {
+			told[t.Endpoint] = append(of, t)
 		}
-		until := time.Duration(1 << 62)
-		for _, later := range c.r.Told {
-			if later.Endpoint == t.Endpoint && later.At > t.At && later.Health == control.Ready {
-				until = min(until, later.At)
+	}
+	for at, news := range told {
+		for i, t := range news {
+			if t.Health == control.Ready {
+				continue
 			}
-		}
-		for _, a := range c.attempts {
-			if a.arrived.Endpoint == t.Endpoint && a.arrived.At > t.At+grace+Slack && a.arrived.At < until {
-				c.breach(3, a.arrived.At, a.arrived.Test, a.where(), "sent %v after the endpoint was told to drain or be gone", a.arrived.At-t.At)
+			until := time.Duration(1 << 62)
+			for _, later := range news[i+1:] {
+				if later.Health == control.Ready {
+					until = min(until, later.At)
+				}
+			}
+			for _, a := range tried[at] {
+				if a.arrived.At > t.At+grace+Slack && a.arrived.At < until {
+					c.breach(3, a.arrived.At, a.arrived.Test, a.where(), "sent %v after the endpoint was told to drain or be gone",
+						a.arrived.At-t.At)
+				}
 			}
 		}
 	}
