One seam for all fronts: intake, door and front sessions; HTTP/2 is one of them

Need: a second protocol is to be the equal of the first, with one set of limits and counters. internal/intake holds what every front asks of a message (resource, tenant, life, keys); internal/door bounds what all fronts hold together (connections, channels, bytes, a tenant's part of them, messages) and decides with hysteresis when publishers are to stop; internal/front carries sessions on gnet; internal/pushfront speaks HTTP/2. Bytes are no longer the engine's business. New settings: tenant-bytes, block-at, unblock-at, channels.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,12 +8,15 @@
 	"time"
 
 	"whinrun/control"
+	"whinrun/internal/door"
 	"whinrun/internal/engine"
 	"whinrun/internal/front"
 	"whinrun/internal/h2"
+	"whinrun/internal/intake"
 	"whinrun/internal/opener"
 	"whinrun/internal/outbound"
 	"whinrun/internal/push"
+	"whinrun/internal/pushfront"
 	"whinrun/internal/roster"
 )
 
@@ -21,20 +24,18 @@
 type Config struct {
 	Module   control.Settings
 	Front    front.Config
+	Push     pushfront.Config
 	Outbound outbound.Config
 	Bounds   engine.Bounds
+	Door     door.Limits
 
 	Garbage    int // percent, as of debug.SetGCPercent
 	LogLevel   string
 	LogLines   float64
 	StopWithin time.Duration
-	MaxBody    int
-	LeastLife  time.Duration
 
+	Intake    intake.Setup
 	Classes   []string
-	Tenants   []string
-	Tokens    []push.Token
-	Resources []push.Resource
 	Partners  []roster.Partner
 	Sites     []push.Site // by partner
 	Dialects  []push.Dialect
@@ -89,13 +90,13 @@
 	d, l, o := r.single("dispatcher"), r.single("limits"), r.single("outbound")
 	c.LogLevel, c.LogLines, c.StopWithin = d.raw["log"], d.num["log-lines"], d.span("stop-within")
 	c.Garbage = d.int("garbage")
-	c.MaxBody = l.int("body")
-	streamWindow := uint32(min(max(64<<10, c.MaxBody), 1<<20))
+	c.Intake.MaxBody = l.int("body")
+	streamWindow := uint32(min(max(64<<10, c.Intake.MaxBody), 1<<20))
 	bounds := h2.Config{MaxStreams: uint32(l.int("streams")), MaxHeaderList: l.int("headers"), StreamWindow: streamWindow,
 		ConnWindow: 4 << 20, Handshake: l.span("handshake"), Stall: l.span("stall"),
 		AbuseBurst: l.num["abuse-burst"], AbuseRate: l.num["abuse-rate"]}
-	c.Front = front.Config{Address: d.raw["listen"], Loops: d.int("loops"), Conns: l.int("connections"),
-		Idle: l.span("client-idle"), Unread: l.int("unread"), H2: bounds}
+	c.Front = front.Config{Address: d.raw["listen"], Loops: d.int("loops"), Unread: l.int("unread")}
+	c.Push = pushfront.Config{Idle: l.span("client-idle"), H2: bounds}
 	bounds.MaxStreams, bounds.StreamWindow, bounds.ConnWindow = 1, 64<<10, 1<<20
 	c.Outbound = outbound.Config{Loops: d.int("loops"), Conns: o.int("connections"), Streams: o.int("streams"),
 		ConnectTimeout: o.span("connect-timeout"),
@@ -138,7 +139,7 @@
 	tenants, _ := r.all("tenant")
 	tokens := map[string]string{}
 	for i, s := range tenants {
-		c.Tenants = append(c.Tenants, s.name)
+		c.Intake.Tenants = append(c.Intake.Tenants, s.name)
 		c.Module.Tenants = append(c.Module.Tenants, control.Tenant{Name: s.name, Quota: s.num["quota"]})
 		if t, ok := s.raw["token"]; ok {
 			if t == "" || strings.ContainsAny(t, " \t") {
@@ -148,7 +149,7 @@
 				r.bad(s.at["token"], "token", "is that of tenant %s, too", o)
 			}
 			tokens[t] = s.name
-			c.Tokens = append(c.Tokens, push.NewToken(t, i))
+			c.Intake.Tokens = append(c.Intake.Tokens, intake.NewToken(t, i))
 		}
 	}
 }
@@ -179,14 +180,14 @@
 		r.bad(0, "", "no [push PATH] section: clients could hand in nothing")
 	}
 	for _, s := range resources {
-		res := push.Resource{Path: s.name, Dest: r.ref(s, "partner", partnerAt), Class: r.ref(s, "class", classAt),
+		res := intake.Resource{Path: s.name, Dest: r.ref(s, "partner", partnerAt), Class: r.ref(s, "class", classAt),
 			Tenant: r.ref(s, "tenant", tenantAt)}
 		if len(r.problems) > 0 {
 			continue
 		}
 		k := c.Module.Classes[res.Class]
 		res.InOrder, res.Life = k.InOrder, time.Duration(k.Deadline)*time.Microsecond
-		c.Resources = append(c.Resources, res)
+		c.Intake.Resources = append(c.Intake.Resources, res)
 	}
 }
 
@@ -234,7 +235,7 @@
 	if m.MaxOpen = l.int("hold"); m.MaxOpen == 0 {
 		m.MaxOpen = max(1000, 40*m.Slots)
 	}
-	c.LeastLife = rules.span("least-life")
+	c.Intake.LeastLife = rules.span("least-life")
 	if m.StopSendingWithin < 2*m.Tick {
 		r.bad(rules.at["drain-grace"], "drain-grace", "is shorter than two ticks")
 	}
@@ -243,7 +244,12 @@
 			r.bad(0, "", "class %s: its deadline is shorter than four ticks", c.Classes[i])
 		}
 	}
-	c.Bounds = engine.Bounds{Queue: l.int("queue"), Hold: m.MaxOpen, Bytes: int64(l.num["hold-bytes"])}
+	c.Bounds = engine.Bounds{Queue: l.int("queue"), Hold: m.MaxOpen}
+	c.Door = door.Limits{Conns: l.int("connections"), Channels: l.int("channels"), Bytes: int64(l.num["hold-bytes"]),
+		TenantBytes: int64(l.num["tenant-bytes"]), Hold: m.MaxOpen, BlockAt: l.num["block-at"], UnblockAt: l.num["unblock-at"]}
+	if c.Door.UnblockAt >= c.Door.BlockAt {
+		r.bad(max(l.at["unblock-at"], l.at["block-at"]), "unblock-at", "is not below block-at")
+	}
 }
 
 // defaultSlots is 32 calls for each endpoint, or one second's calls where a partner's rate is listed as more.
@@ -263,5 +269,5 @@
 // Describe tells in a line what a setup is.
 func (c *Config) Describe() string {
 	return fmt.Sprintf("%d partners, %d endpoints, %d classes, %d tenants, %d push resources; %d slots, %d messages held at most",
-		len(c.Partners), len(c.Lines), len(c.Classes), len(c.Tenants), len(c.Resources), c.Module.Slots, c.Module.MaxOpen)
+		len(c.Partners), len(c.Lines), len(c.Classes), len(c.Intake.Tenants), len(c.Intake.Resources), c.Module.Slots, c.Module.MaxOpen)
 }
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,265 @@
+package door
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"whinrun/control"
+	"whinrun/internal/engine"
+)
+
+// Reasons why something is not taken in. Nothing was held: trying again is harmless.
+var (
+	ErrBytesFull  = errors.New("too many bytes are held")
+	ErrTenantFull = errors.New("too many bytes are held for this tenant")
+)
+
+// Limits of all fronts together.
+type Limits struct {
+	Conns       int   // client connections
+	Channels    int   // channels on them, where the protocol has channels that cost memory
+	Bytes       int64 // bytes of bodies, from their first byte until the answer
+	TenantBytes int64 // of them, for one tenant
+	Hold        int   // messages owed an answer, as the engine bounds them
+	BlockAt     float64
+	UnblockAt   float64 // publishers are asked to stop from one share of Bytes or Hold until the other
+}
+
+// Core is what messages are handed to: the engine's loop.
+type Core interface {
+	Submit(m *engine.Message) error
+	Withdraw(id control.MessageID)
+}
+
+// Counts is what came of it all at one front.
+type Counts struct {
+	Conns, ConnsRefused, Malformed atomic.Int64 // connections taken, turned away, ended for what they sent
+	Taken, Rejected                atomic.Int64 // messages taken; turned away at the door
+	Served, Refused, Failed        atomic.Int64 // final answers
+	Withdrawn, Unheard             atomic.Int64 // by their senders; answers that nobody was there to hear
+}
+
+// Door is the one way in.
+type Door struct {
+	limits  Limits
+	core    Core
+	blocked atomic.Bool
+
+	mu       sync.Mutex
+	valve    Valve
+	conns    int
+	channels int
+	held     int
+	bytes    int64
+	tenants  []int64
+	sides    []*Side
+}
+
+// New makes a Door for so many tenants.
+func New(l Limits, tenants int, core Core) *Door {
+	return &Door{limits: l, core: core, tenants: make([]int64, tenants), valve: Valve{High: l.BlockAt, Low: l.UnblockAt}}
+}
+
+// Side is one front's way through the door.
+type Side struct {
+	Name string
+	Counts
+	d *Door
+}
+
+// Side adds a front.
+func (d *Door) Side(name string) *Side {
+	s := &Side{Name: name, d: d}
+	d.mu.Lock()
+	d.sides = append(d.sides, s)
+	d.mu.Unlock()
+	return s
+}
+
+// Sides returns all fronts, for their counts.
+func (d *Door) Sides() []*Side {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sides[:len(d.sides):len(d.sides)]
+}
+
+// Usage is what is held now.
+type Usage struct {
+	Conns, Channels, Held int
+	Bytes                 int64
+	Blocked               bool
+}
+
+// Usage returns what is held now.
+func (d *Door) Usage() Usage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Usage{d.conns, d.channels, d.held, d.bytes, d.blocked.Load()}
+}
+
+// Blocked tells whether publishers are to stop for a while.
+func (d *Door) Blocked() bool { return d.blocked.Load() }
+
+// level is called with the lock held after every change.
+func (d *Door) level() {
+	l := float64(d.bytes) / float64(max(1, d.limits.Bytes))
+	if d.limits.Hold > 0 {
+		l = max(l, float64(d.held)/float64(d.limits.Hold))
+	}
+	d.blocked.Store(d.valve.Update(l))
+}
+
+// Enter asks for room for a connection.
+func (s *Side) Enter() bool {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	if s.d.conns >= s.d.limits.Conns {
+		s.ConnsRefused.Add(1)
+		return false
+	}
+	s.d.conns++
+	s.Conns.Add(1)
+	return true
+}
+
+// Leave gives a connection's room back.
+func (s *Side) Leave() {
+	s.d.mu.Lock()
+	s.d.conns--
+	s.d.mu.Unlock()
+}
+
+// OpenChannel asks for room for a channel.
+func (s *Side) OpenChannel() bool {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	if s.d.channels >= s.d.limits.Channels {
+		return false
+	}
+	s.d.channels++
+	return true
+}
+
+// CloseChannels gives the room of n channels back.
+func (s *Side) CloseChannels(n int) {
+	s.d.mu.Lock()
+	s.d.channels -= n
+	s.d.mu.Unlock()
+}
+
+// Blocked tells whether publishers are to stop for a while.
+func (s *Side) Blocked() bool { return s.d.Blocked() }
+
+// Ticket is one message's way through the door, from its first byte to its answer. It is used by one goroutine at a
+// time. Each Ticket ends once, by Answered, Withdraw or Turn; ends after the first do nothing.
+type Ticket struct {
+	side   *Side
+	tenant int
+	bytes  int64
+	id     control.MessageID
+	taken  bool
+	over   bool
+}
+
+// Ticket begins a message of a tenant.
+func (s *Side) Ticket(tenant int) Ticket { return Ticket{side: s, tenant: tenant} }
+
+// Grow asks for room for n more bytes of its body.
+func (t *Ticket) Grow(n int) error {
+	d := t.side.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch more := int64(n); {
+	case d.bytes+more > d.limits.Bytes:
+		return ErrBytesFull
+	case d.limits.TenantBytes > 0 && d.tenants[t.tenant]+more > d.limits.TenantBytes:
+		return ErrTenantFull
+	default:
+		d.bytes += more
+		d.tenants[t.tenant] += more
+		t.bytes += more
+		d.level()
+		return nil
+	}
+}
+
+// Submit hands the whole message over. An error tells why it is not taken; the ticket is then still to be ended.
+func (t *Ticket) Submit(m *engine.Message) error {
+	d := t.side.d
+	d.mu.Lock()
+	d.held++ // before the engine can answer
+	d.level()
+	d.mu.Unlock()
+	t.taken = true
+	if err := d.core.Submit(m); err != nil {
+		t.taken = false
+		d.mu.Lock()
+		d.held--
+		d.level()
+		d.mu.Unlock()
+		return err
+	}
+	t.id = m.ID
+	t.side.Taken.Add(1)
+	return nil
+}
+
+// Taken tells whether the message was handed over.
+func (t *Ticket) Taken() bool { return t.taken }
+
+// Over tells whether the ticket has ended.
+func (t *Ticket) Over() bool { return t.over }
+
+// Answered ends the ticket of a message that has its final answer; heard tells whether its sender was there.
+func (t *Ticket) Answered(f engine.Final, heard bool) {
+	if !t.end() {
+		return
+	}
+	switch f {
+	case engine.Served:
+		t.side.Served.Add(1)
+	case engine.Refused:
+		t.side.Refused.Add(1)
+	default:
+		t.side.Failed.Add(1)
+	}
+	if !heard {
+		t.side.Unheard.Add(1)
+	}
+}
+
+// Withdraw ends the ticket of a message that nobody waits for: nothing new is sent for it.
+func (t *Ticket) Withdraw() {
+	if !t.end() {
+		return
+	}
+	if t.taken {
+		t.side.Withdrawn.Add(1)
+		t.side.d.core.Withdraw(t.id)
+	}
+}
+
+// Turn ends the ticket of a message that was not taken.
+func (t *Ticket) Turn() {
+	if t.end() {
+		t.side.Rejected.Add(1)
+	}
+}
+
+func (t *Ticket) end() bool {
+	if t.over {
+		return false
+	}
+	t.over = true
+	d := t.side.d
+	d.mu.Lock()
+	d.bytes -= t.bytes
+	d.tenants[t.tenant] -= t.bytes
+	if t.taken {
+		d.held--
+	}
+	d.level()
+	d.mu.Unlock()
+	return true
+}
--- /dev/null
+++ b/internal/door/door_test.go
@@ -0,0 +1,98 @@
+package door
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"whinrun/control"
+	"whinrun/internal/engine"
+)
+
+// core takes a set number of messages.
+type core struct {
+	room      int
+	withdrawn []control.MessageID
+	next      control.MessageID
+}
+
+func (c *core) Submit(m *engine.Message) error {
+	if c.room == 0 {
+		return engine.ErrHoldFull
+	}
+	c.room--
+	c.next++
+	m.ID = c.next
+	return nil
+}
+func (c *core) Withdraw(id control.MessageID) { c.withdrawn = append(c.withdrawn, id) }
+
+func limits() Limits {
+	return Limits{Conns: 2, Channels: 3, Bytes: 100, TenantBytes: 60, Hold: 10, BlockAt: 0.9, UnblockAt: 0.5}
+}
+
+func TestLimitsAreOfAllFrontsTogether(t *testing.T) {
+	d := New(limits(), 2, &core{room: 1})
+	a, b := d.Side("a"), d.Side("b")
+	if !a.Enter() || !b.Enter() || a.Enter() || b.ConnsRefused.Load() != 0 || a.ConnsRefused.Load() != 1 {
+		t.Error("connections are not bounded over fronts")
+	}
+	a.Leave()
+	if !b.Enter() {
+		t.Error("room given back on one side is not there for the other")
+	}
+	if !a.OpenChannel() || !b.OpenChannel() || !b.OpenChannel() || a.OpenChannel() {
+		t.Error("channels are not bounded over fronts")
+	}
+	x, y, z := a.Ticket(0), b.Ticket(0), b.Ticket(1)
+	if x.Grow(50) != nil || !errors.Is(y.Grow(20), ErrTenantFull) || z.Grow(40) != nil || !errors.Is(z.Grow(20), ErrBytesFull) {
+		t.Error("bytes are not bounded by tenant and in all")
+	}
+	if !d.Blocked() {
+		t.Error("90 of 100 bytes held, and nobody is asked to stop")
+	}
+	x.Withdraw()
+	if d.Blocked() || d.Usage().Bytes != 40 {
+		t.Errorf("at %+v", d.Usage())
+	}
+}
+
+// A ticket ends once: its bytes and its place are given back once, whatever comes after.
+func TestTicketEndsOnce(t *testing.T) {
+	c := &core{room: 1}
+	d := New(limits(), 1, c)
+	s := d.Side("a")
+	x, y := s.Ticket(0), s.Ticket(0)
+	m := &engine.Message{}
+	if x.Grow(10) != nil || x.Submit(m) != nil || !errors.Is(y.Submit(&engine.Message{}), engine.ErrHoldFull) {
+		t.Fatal("submit")
+	}
+	y.Turn()
+	x.Withdraw()
+	x.Answered(engine.Served, true)
+	x.Withdraw()
+	x.Turn()
+	if u := d.Usage(); u.Held != 0 || u.Bytes != 0 || len(c.withdrawn) != 1 || c.withdrawn[0] != m.ID {
+		t.Errorf("%+v, withdrawn %v", u, c.withdrawn)
+	}
+	if s.Withdrawn.Load() != 1 || s.Rejected.Load() != 1 || s.Served.Load() != 0 || s.Taken.Load() != 1 {
+		t.Error("counts are wrong")
+	}
+}
+
+// The valve changes its mind only across the gap: at levels within it, it stays as it was.
+func TestValveHasHysteresis(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := Valve{High: 0.9, Low: 0.7}
+		was := false
+		for _, level := range rapid.SliceOf(rapid.Float64Range(0, 1.2)).Draw(t, "levels") {
+			is := v.Update(level)
+			switch {
+			case level >= 0.9 && !is, level <= 0.7 && is, level > 0.7 && level < 0.9 && is != was:
+				t.Fatalf("level %v: from %v to %v", level, was, is)
+			}
+			was = is
+		}
+	})
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -282,11 +282,7 @@
 // Each bound of a Loop has its answer, and an orderly stop waits for those taken.
 func TestLoopBounds(t *testing.T) {
 	w := newWorld(t, 3)
-	l := NewLoop(w.core, NewRealClock(), Bounds{Queue: 2, Hold: 3, Bytes: 10})
-	if !l.Reserve(10) || l.Reserve(1) {
-		t.Error("bytes are not bounded")
-	}
-	l.Release(10)
+	l := NewLoop(w.core, NewRealClock(), Bounds{Queue: 2, Hold: 3})
 	submit := func() error { return l.Submit(&Message{Life: control.Second, Origin: w}) }
 	if a, b, c := submit(), submit(), submit(); a != nil || b != nil || c != ErrQueueFull {
 		t.Error("queue:", a, b, c)
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -13,7 +13,6 @@
 var (
 	ErrQueueFull = errors.New("too many messages arrive at once")
 	ErrHoldFull  = errors.New("too many messages are held")
-	ErrBytesFull = errors.New("too many bytes are held")
 	ErrStopping  = errors.New("the dispatcher is stopping")
 )
 
@@ -31,9 +30,8 @@
 
 // Bounds limit what a Loop takes on.
 type Bounds struct {
-	Queue int   // messages that wait for the next round
-	Hold  int   // messages owed an answer
-	Bytes int64 // bytes of bodies, from their first byte until the answer
+	Queue int // messages that wait for the next round
+	Hold  int // messages owed an answer
 }
 
 // Loop runs a Core: inputs come from any goroutine, rounds run on one.
@@ -50,7 +48,6 @@
 	stopping bool
 	empty    chan struct{} // closed when stopping and nothing is open
 
-	bytes atomic.Int64
 	wake  chan struct{}
 	quit  chan struct{}
 	done  chan struct{}
@@ -65,18 +62,6 @@
 	return l
 }
 
-// Reserve asks for room for n bytes of a body that is coming in; Release gives it back.
-func (l *Loop) Reserve(n int) bool {
-	if l.bytes.Add(int64(n)) > l.bounds.Bytes {
-		l.bytes.Add(int64(-n))
-		return false
-	}
-	return true
-}
-
-// Release gives bytes back that were reserved.
-func (l *Loop) Release(n int) { l.bytes.Add(int64(-n)) }
-
 // Submit hands a message over, or tells why it is not taken. Once taken it gets exactly one final answer, at its
 // Origin, unless it is withdrawn. The id is set before the message can be answered.
 func (l *Loop) Submit(m *Message) error {
@@ -166,9 +151,6 @@
 // Stats returns the counts after the last round.
 func (l *Loop) Stats() Stats { return *l.stats.Load() }
 
-// Bytes returns the bytes of bodies held.
-func (l *Loop) Bytes() int64 { return l.bytes.Load() }
-
 // Stop takes no more messages; those taken have their answers within the time given. The channel is closed when
 // none is owed one any more.
 func (l *Loop) Stop(within time.Duration) <-chan struct{} {
--- a/internal/push/push.go
+++ b/internal/push/push.go
@@ -11,9 +11,12 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"whinrun/control"
 	"whinrun/internal/engine"
 	"whinrun/internal/h2"
+	"whinrun/internal/intake"
 )
 
 // Names of the fields that an attempt carries beside the published ones.
@@ -76,7 +79,7 @@
 // Reason is the first line of the body.
 func (Standard) Reason(body []byte) string {
 	line, _, _ := strings.Cut(string(body), "\n")
-	return printable(line)
+	return intake.Printable(line)
 }
 
 func repeatKey(n Names, m *engine.Message) string {
@@ -136,13 +139,13 @@
 	if json.Unmarshal(body, &v) != nil {
 		return ""
 	}
-	return printable(v.Reason)
+	return intake.Printable(v.Reason)
 }
 
 // uuidOf makes a name into the form of a UUID (RFC 9562 version 8), the same for the same name.
 func uuidOf(name string) string {
 	var b [16]byte
-	h1, h2 := hash64(name), hash64("2"+name)
+	h1, h2 := xxhash.Sum64String(name), xxhash.Sum64String("2"+name)
 	for i := range 8 {
 		b[i], b[8+i] = byte(h1>>(8*i)), byte(h2>>(8*i))
 	}
@@ -151,19 +154,6 @@
 	return fmt.Sprintf("%x-%x-%x-%x-%x", b[0:4], b[4:6], b[6:8], b[8:10], b[10:16])
 }
 
-// printable keeps what may stand in a log or an answer.
-func printable(s string) string {
-	if len(s) > 80 {
-		s = s[:80]
-	}
-	return strings.Map(func(r rune) rune {
-		if r < ' ' || r > '~' {
-			return -1
-		}
-		return r
-	}, s)
-}
-
 // mostWait bounds what a told wait can count as: past it the figure is no figure.
 const mostWait = 10 * 365 * 24 * time.Hour
 
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -8,12 +8,14 @@
 	"whinrun/control"
 	"whinrun/internal/engine"
 	"whinrun/internal/h2"
+	"whinrun/internal/intake"
 )
 
 func desk() *Desk {
-	return NewDesk([]Resource{{Path: "/a/status", Class: 0, Tenant: 0, Dest: 1, InOrder: true, Life: 10 * time.Second},
+	return NewDesk(intake.NewBook(intake.Setup{Resources: []intake.Resource{{Path: "/a/status", Class: 0, Tenant: 0, Dest: 1, InOrder: true, Life: 10 * time.Second},
 		{Path: "/a/open", Class: 1, Tenant: 2, Life: 10 * time.Second}, {Path: "/d/*", Tenant: 1, Life: 10 * time.Second, Target: ""}},
-		[]Token{NewToken("one", 0), NewToken("two", 1)}, 3, 1000, time.Second)
+		Tokens: []intake.Token{intake.NewToken("one", 0), intake.NewToken("two", 1)}, Tenants: []string{"x", "y", "z"},
+		MaxBody: 1000, LeastLife: time.Second}))
 }
 
 func request(path string, more ...string) []h2.Field {
@@ -55,14 +57,14 @@
 		{"blank in the device", request("/d/a b", "ttl", "5", "authorization", "Bearer two"), 404},
 		{"deeper", request("/d/a/b", "ttl", "5", "authorization", "Bearer two"), 404},
 	} {
-		_, _, p := desk().Read(c.fields)
+		_, p := desk().Read(c.fields)
 		if got := statusOf(p); got != c.status {
 			t.Errorf("%s: %d, want %d (%v)", c.name, got, c.status, p)
 		}
 	}
 	get := request("/a/status", with("ttl", "5")...)
 	get[0].Value = "GET"
-	if _, _, p := desk().Read(get); statusOf(p) != 405 {
+	if _, p := desk().Read(get); statusOf(p) != 405 {
 		t.Errorf("GET: %v", p)
 	}
 }
@@ -75,18 +77,18 @@
 }
 
 func TestReadMeaning(t *testing.T) {
-	m, _, p := desk().Read(request("/a/status", "authorization", "bearer one", "ttl", "3", "topic", "t1", "idempotency-key", `"k1"`, "urgency", "high"))
+	m, p := desk().Read(request("/a/status", "authorization", "bearer one", "ttl", "3", "topic", "t1", "idempotency-key", `"k1"`, "urgency", "high"))
 	if p != nil {
 		t.Fatal(p)
 	}
 	if m.Life != 3*control.Second || m.Key == 0 || m.Repeat != "0/k1" || m.Dest != 1 || m.Urgency != "high" {
 		t.Errorf("%+v", m)
 	}
-	bare, _, _ := desk().Read(request("/a/status", "authorization", "Bearer one", "ttl", "0", "topic", "t1", "idempotency-key", "k1"))
+	bare, _ := desk().Read(request("/a/status", "authorization", "Bearer one", "ttl", "0", "topic", "t1", "idempotency-key", "k1"))
 	if bare.Life != control.Second || bare.Key != m.Key || bare.Repeat != m.Repeat {
 		t.Errorf("TTL 0, bare key: %+v", bare)
 	}
-	d, _, _ := desk().Read(request("/d/token9", "authorization", "Bearer two", "ttl", "100"))
+	d, _ := desk().Read(request("/d/token9", "authorization", "Bearer two", "ttl", "100"))
 	if d.Target != "/token9" || d.Life != 10*control.Second {
 		t.Errorf("%+v", d)
 	}
@@ -175,7 +177,7 @@
 func FuzzRead(f *testing.F) {
 	f.Add("/a/status", "Bearer one", "5", "t", `"k"`)
 	f.Fuzz(func(t *testing.T, path, auth, ttl, topic, key string) {
-		m, _, p := desk().Read(request(path, "authorization", auth, "ttl", ttl, "topic", topic, "idempotency-key", key))
+		m, p := desk().Read(request(path, "authorization", auth, "ttl", ttl, "topic", topic, "idempotency-key", key))
 		if (m == nil) == (p == nil) {
 			t.Error("neither a message nor a problem, or both")
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,12 +13,15 @@
 
 	"whinrun/control"
 	"whinrun/internal/config"
+	"whinrun/internal/door"
 	"whinrun/internal/engine"
 	"whinrun/internal/front"
 	"whinrun/internal/h2"
+	"whinrun/internal/intake"
 	"whinrun/internal/logs"
 	"whinrun/internal/outbound"
 	"whinrun/internal/push"
+	"whinrun/internal/pushfront"
 	"whinrun/internal/roster"
 )
 
@@ -30,6 +33,7 @@
 	roster *roster.Roster
 	loop   *engine.Loop
 	pool   *outbound.Pool
+	door   *door.Door
 	front  *front.Front
 	lists  *lists
 }
@@ -65,8 +69,10 @@
 	s.lists.put = func(l engine.List) { s.loop.Put(engine.Input{List: &l}) }
 	s.lists.start(cfg.ListEvery)
 	go s.loop.Run()
-	desk := push.NewDesk(cfg.Resources, cfg.Tokens, len(cfg.Tenants), cfg.MaxBody, cfg.LeastLife)
-	s.front, err = front.New(cfg.Front, desk, names, s.loop, s.clock, func(t string) { log.Warn("front", "%s", t) })
+	s.door = door.New(cfg.Door, len(cfg.Intake.Tenants), s.loop)
+	book := intake.NewBook(cfg.Intake)
+	side := s.door.Side("push")
+	s.front, err = front.New(cfg.Front, side, s.clock, s.clients("push"), pushfront.Opener(cfg.Push, push.NewDesk(book), names, side))
 	if err != nil {
 		s.lists.stop()
 		s.loop.Close()
@@ -77,14 +83,19 @@
 	return s, nil
 }
 
+// clients logs what the clients of a front did wrong.
+func (s *Service) clients(name string) func(string) {
+	return func(t string) { s.log.Warn(name, "%s", t) }
+}
+
 // Addr is where clients connect.
 func (s *Service) Addr() net.Addr { return s.front.Addr() }
 
 // Stats returns the engine's counts.
 func (s *Service) Stats() engine.Stats { return s.loop.Stats() }
 
-// Loop gives access to the engine, for measurements.
-func (s *Service) Loop() *engine.Loop { return s.loop }
+// Door gives access to what clients have handed in, for measurements and tests.
+func (s *Service) Door() *door.Door { return s.door }
 
 // Note is engine.Log.
 func (s *Service) Note(text string) { s.log.Info("module", "%s", text) }
