AMQP 0-9-1: a second front on the same core, with confirms, returns and queues of answers

Need: programs that publish to a broker are to reach the dispatcher with the client library they have. internal/amqp is the protocol's server side, free of I/O: frames, field tables, methods, channels, content in parts, heartbeats, budgets against floods, closes that cross; Confirms decides which acks and nacks go out, and in what order. internal/mailbox decides about queues of answers: places promised before a message is taken, readers in turns, prefetch, what goes back. internal/amqpfront puts both on a front session. Served is an ack, refused a return and a nack, failed a nack alone. A connection's loss does not end its messages. Tests: interop with amqp091-go (answers, 500 confirms out of order, twelve kinds of misuse, connection lost with 200 unconfirmed, blocked and let go on, orderly stop); protocol errors table, property tests, two fuzz targets. Found by the tests: confirms gathered before the orderly close were dropped with their channel.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,11 +8,14 @@
 	"time"
 
 	"whinrun/control"
+	"whinrun/internal/amqp"
+	"whinrun/internal/amqpfront"
 	"whinrun/internal/door"
 	"whinrun/internal/engine"
 	"whinrun/internal/front"
 	"whinrun/internal/h2"
 	"whinrun/internal/intake"
+	"whinrun/internal/mailbox"
 	"whinrun/internal/opener"
 	"whinrun/internal/outbound"
 	"whinrun/internal/push"
@@ -25,6 +28,8 @@
 	Module   control.Settings
 	Front    front.Config
 	Push     pushfront.Config
+	AMQP     front.Config // its address is empty where AMQP is off
+	AMQPDesk amqpfront.Config
 	Outbound outbound.Config
 	Bounds   engine.Bounds
 	Door     door.Limits
@@ -96,6 +101,7 @@
 		ConnWindow: 4 << 20, Handshake: l.span("handshake"), Stall: l.span("stall"),
 		AbuseBurst: l.num["abuse-burst"], AbuseRate: l.num["abuse-rate"]}
 	c.Front = front.Config{Address: d.raw["listen"], Loops: d.int("loops"), Unread: l.int("unread")}
+	r.amqp(c, d, l)
 	c.Push = pushfront.Config{Idle: l.span("client-idle"), H2: bounds}
 	bounds.MaxStreams, bounds.StreamWindow, bounds.ConnWindow = 1, 64<<10, 1<<20
 	c.Outbound = outbound.Config{Loops: d.int("loops"), Conns: o.int("connections"), Streams: o.int("streams"),
@@ -108,6 +114,18 @@
 	return c
 }
 
+func (r *reader) amqp(c *Config, d, l *section) {
+	a := r.single("amqp")
+	c.AMQP = front.Config{Address: a.raw["listen"], Loops: d.int("loops"), Unread: max(l.int("unread"), 2*c.Intake.MaxBody)}
+	c.AMQPDesk = amqpfront.Config{
+		AMQP: amqp.Config{Product: "whinrun", ChannelMax: uint16(a.int("channels")), FrameMax: a.int("frame"), Heartbeat: a.span("heartbeat"),
+			Handshake: l.span("handshake"), Stall: l.span("stall"), AbuseBurst: l.num["abuse-burst"], AbuseRate: l.num["abuse-rate"]},
+		Mailbox: mailbox.Limits{Queues: a.int("queues"), Length: a.int("queue-length"), Idle: a.span("queue-idle")}}
+	if h := c.AMQPDesk.AMQP.Heartbeat; h%time.Second != 0 {
+		r.bad(a.at["heartbeat"], "heartbeat", "is not in whole seconds")
+	}
+}
+
 func (r *reader) list(c *Config) {
 	s := r.single("list")
 	c.ListFile, c.ListEvery = s.raw["file"], s.span("every")
@@ -164,6 +182,7 @@
 	if len(partners) == 0 {
 		r.bad(0, "", "no [partner NAME] section: at least one is needed")
 	}
+	c.Intake.Partners = partnerAt
 	for i, s := range partners {
 		k := r.ref(s, "kind", kindAt)
 		c.Partners = append(c.Partners, roster.Partner{Name: s.name, Dest: i, Kind: k, Rate: s.num["rate"]})
@@ -182,13 +201,25 @@
 	for _, s := range resources {
 		res := intake.Resource{Path: s.name, Dest: r.ref(s, "partner", partnerAt), Class: r.ref(s, "class", classAt),
 			Tenant: r.ref(s, "tenant", tenantAt)}
-		if len(r.problems) > 0 {
-			continue
+		if len(r.problems) == 0 {
+			res.InOrder, res.Life = c.limits(res.Class)
+			c.Intake.Resources = append(c.Intake.Resources, res)
 		}
-		k := c.Module.Classes[res.Class]
-		res.InOrder, res.Life = k.InOrder, time.Duration(k.Deadline)*time.Microsecond
-		c.Intake.Resources = append(c.Intake.Resources, res)
 	}
+	exchanges, _ := r.all("exchange")
+	for _, s := range exchanges {
+		x := intake.Exchange{Name: s.name, Class: r.ref(s, "class", classAt), Tenant: r.ref(s, "tenant", tenantAt)}
+		if len(r.problems) == 0 {
+			x.InOrder, x.Life = c.limits(x.Class)
+			c.Intake.Exchanges = append(c.Intake.Exchanges, x)
+		}
+	}
+}
+
+// limits are what a class lays down for its messages.
+func (c *Config) limits(class int) (inOrder bool, life time.Duration) {
+	k := c.Module.Classes[class]
+	return k.InOrder, time.Duration(k.Deadline) * time.Microsecond
 }
 
 func (r *reader) endpoints(c *Config, s *section) {
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -81,6 +81,15 @@
 		{"stall", span, "10s", false, 0.01, 600, "", "a header section in parts, or a window held shut, may last so long"},
 		{"client-idle", span, "5m", false, 1, maxSpan, "", "a client connection without requests gets GOAWAY after this"},
 	}},
+	{"amqp", false, "AMQP 0-9-1 towards clients; see amqp.md. Without an address it is off.", []keySpec{
+		{"listen", address, "", false, 0, 0, "", "where clients connect, in clear text; 127.0.0.1:5672 is the usual port"},
+		{"heartbeat", span, "60s", false, 0, 3600, "", "heartbeat proposed, in whole seconds; a client may set another, or 0 for none"},
+		{"frame", size, "128KiB", false, 4096, 16 << 20, "", "frame-max: largest frame"},
+		{"channels", count, "2047", false, 1, 65535, "", "channel-max: channels on one connection"},
+		{"queues", count, "64", false, 1, 1e6, "", "queues of answers that a tenant may have"},
+		{"queue-length", count, "10000", false, 1, 1e7, "", "answers in a queue, those promised to messages under way with them; above it messages that name the queue are returned"},
+		{"queue-idle", span, "30m", false, 0, maxSpan, "", "a queue without reader and answers is removed after this; 0 is never. Exclusive ones go with their connection"},
+	}},
 	{"outbound", false, "Connections to partners.", []keySpec{
 		{"connections", count, "8", false, 1, 1e5, "", "connections to one endpoint"},
 		{"streams", count, "100", false, 1, 1e6, "", "attempts on one connection at once, where the partner allows as many"},
@@ -140,6 +149,10 @@
 		{"class", name, "", true, 0, 0, "class", "their class"},
 		{"tenant", name, "", true, 0, 0, "tenant", "whose they are"},
 	}},
+	{"exchange", true, "An exchange for AMQP publishers. The routing key is a partner's name or, where its path takes one more part, PARTNER/PART.", []keySpec{
+		{"class", name, "", true, 0, 0, "class", "class of what is published"},
+		{"tenant", name, "", true, 0, 0, "tenant", "whose it is"},
+	}},
 }
 
 var bareName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -78,6 +78,7 @@
 	conns map[*Conn]struct{}
 
 	away, finish atomic.Bool
+	blocked      bool // as of the last tick
 }
 
 // Conn is one client connection.
@@ -318,11 +319,15 @@
 	return gnet.Close
 }
 
-// OnTick wakes the connections whose deadlines have come; it runs beside the event loops.
+// OnTick wakes the connections whose deadlines have come, and all when publishers are to stop or may go on; it runs
+// beside the event loops.
 func (f *Front) OnTick() (time.Duration, gnet.Action) {
 	now := int64(f.elapsed())
+	blocked := f.side.Blocked()
+	turned := blocked != f.blocked
+	f.blocked = blocked
 	f.each(func(c *Conn) {
-		if due := c.due.Load(); due > 0 && due <= now {
+		if due := c.due.Load(); turned || due > 0 && due <= now {
 			c.wake()
 		}
 	})
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -44,6 +44,11 @@
 	Withdrawn  bool
 }
 
+// Poster hands one message in and waits for its answer: a Client or a Publisher.
+type Poster interface {
+	Post(ctx context.Context, m *Message) (status, wait int, name string, err error)
+}
+
 // Client is a set of connections to one dispatcher.
 type Client struct {
 	base  string
@@ -72,12 +77,7 @@
 
 // Post hands one message in and waits for its answer.
 func (c *Client) Post(ctx context.Context, m *Message) (status, wait int, name string, err error) {
-	body := make([]byte, 0, max(m.Size, 64))
-	body = fmt.Appendf(body, "%s %s %s\n", m.Test, m.Class, orDash(m.Key))
-	for len(body) < m.Size {
-		body = append(body, '.')
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+m.Path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+m.Path, bytes.NewReader(m.body()))
 	if err != nil {
 		return 0, 0, "", err
 	}
@@ -101,6 +101,16 @@
 	return res.StatusCode, wait, res.Header.Get("Whinrun-Message"), nil
 }
 
+// body is what is sent: the words that the stand-ins go by, filled up to the size.
+func (m *Message) body() []byte {
+	body := make([]byte, 0, max(m.Size, 64))
+	body = fmt.Appendf(body, "%s %s %s\n", m.Test, m.Class, orDash(m.Key))
+	for len(body) < m.Size {
+		body = append(body, '.')
+	}
+	return body
+}
+
 func orDash(s string) string {
 	if s == "" {
 		return "-"
@@ -111,7 +121,7 @@
 // Run hands in all messages at their times, each on a goroutine of its own while it is out, and returns what became
 // of them, in their order. now is the clock of the run; most bounds how many are out at once: the rest wait, and
 // their latency counts.
-func Run(ctx context.Context, c *Client, msgs []Message, now func() time.Duration, most int) []Outcome {
+func Run(ctx context.Context, c Poster, msgs []Message, now func() time.Duration, most int) []Outcome {
 	out := make([]Outcome, len(msgs))
 	room := make(chan struct{}, max(1, most))
 	var all sync.WaitGroup
@@ -138,7 +148,7 @@
 	return out
 }
 
-func one(ctx context.Context, c *Client, m Message, now func() time.Duration) Outcome {
+func one(ctx context.Context, c Poster, m Message, now func() time.Duration) Outcome {
 	o := Outcome{Message: m, Sent: now()}
 	if m.Withdraw > 0 {
 		var stop context.CancelFunc
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"whinrun/control"
+	"whinrun/internal/amqpfront"
 	"whinrun/internal/config"
 	"whinrun/internal/door"
 	"whinrun/internal/engine"
@@ -34,7 +36,8 @@
 	loop   *engine.Loop
 	pool   *outbound.Pool
 	door   *door.Door
-	front  *front.Front
+	fronts []*front.Front // push, then AMQP where it is on
+	amqp   *amqpfront.Desk
 	lists  *lists
 }
 
@@ -70,26 +73,46 @@
 	s.lists.start(cfg.ListEvery)
 	go s.loop.Run()
 	s.door = door.New(cfg.Door, len(cfg.Intake.Tenants), s.loop)
-	book := intake.NewBook(cfg.Intake)
-	side := s.door.Side("push")
-	s.front, err = front.New(cfg.Front, side, s.clock, s.clients("push"), pushfront.Opener(cfg.Push, push.NewDesk(book), names, side))
-	if err != nil {
-		s.lists.stop()
-		s.loop.Close()
-		s.pool.Close()
+	if err := s.listen(names); err != nil {
+		s.Kill()
 		return nil, err
 	}
-	log.Info("service", "listening on %v: %s", s.front.Addr(), cfg.Describe())
+	log.Info("service", "listening on %v: %s", s.Addr(), cfg.Describe())
+	if a := s.AMQPAddr(); a != nil {
+		log.Info("service", "AMQP on %v", a)
+	}
 	return s, nil
 }
 
-// clients logs what the clients of a front did wrong.
-func (s *Service) clients(name string) func(string) {
-	return func(t string) { s.log.Warn(name, "%s", t) }
+// listen opens the fronts. They are equals: each gets its side of the one door.
+func (s *Service) listen(names push.Names) error {
+	cfg, book := s.cfg, intake.NewBook(s.cfg.Intake)
+	add := func(name string, c front.Config, side *door.Side, open func(*front.Conn, time.Duration) front.Session) error {
+		f, err := front.New(c, side, s.clock, func(t string) { s.log.Warn(name, "%s", t) }, open)
+		if err == nil {
+			s.fronts = append(s.fronts, f)
+		}
+		return err
+	}
+	side := s.door.Side("push")
+	if err := add("push", cfg.Front, side, pushfront.Opener(cfg.Push, push.NewDesk(book), names, side)); err != nil || cfg.AMQP.Address == "" {
+		return err
+	}
+	side = s.door.Side("amqp")
+	s.amqp = amqpfront.New(cfg.AMQPDesk, book, names, side, func() time.Duration { return time.Duration(s.clock.Now()) * time.Microsecond })
+	return add("amqp", cfg.AMQP, side, s.amqp.Open)
 }
 
-// Addr is where clients connect.
-func (s *Service) Addr() net.Addr { return s.front.Addr() }
+// Addr is where clients connect by HTTP/2.
+func (s *Service) Addr() net.Addr { return s.fronts[0].Addr() }
+
+// AMQPAddr is where clients connect by AMQP, nil where that is off.
+func (s *Service) AMQPAddr() net.Addr {
+	if len(s.fronts) < 2 {
+		return nil
+	}
+	return s.fronts[1].Addr()
+}
 
 // Stats returns the engine's counts.
 func (s *Service) Stats() engine.Stats { return s.loop.Stats() }
@@ -107,7 +130,9 @@
 // It tells whether every message had its answer; when ctx ends first the rest is cut off.
 func (s *Service) Stop(ctx context.Context) bool {
 	s.log.Info("service", "stopping: no new messages")
-	s.front.GoAway()
+	for _, f := range s.fronts {
+		f.GoAway()
+	}
 	answered := false
 	select {
 	case <-s.loop.Stop(s.cfg.StopWithin):
@@ -115,7 +140,9 @@
 	case <-ctx.Done():
 	}
 	if answered {
-		s.front.Flush(ctx)
+		for _, f := range s.fronts {
+			f.Flush(ctx)
+		}
 	}
 	s.Kill()
 	st := s.Stats()
@@ -129,7 +156,11 @@
 	s.lists.stop()
 	ctx, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
-	_ = s.front.Close(ctx)
+	var all sync.WaitGroup
+	for _, f := range s.fronts { // together: each takes half a second
+		all.Go(func() { _ = f.Close(ctx) })
+	}
+	all.Wait()
 	s.loop.Close()
 	s.pool.Close()
 }
