--- a/cmd/whinlab/main.go
+++ b/cmd/whinlab/main.go
@@ -26,6 +26,7 @@
 	Partner partnerCmd `cmd:"" help:"Run stand-in partners until interrupted, and print what they saw."`
 	Send    sendCmd    `cmd:"" help:"Hand messages to a dispatcher at a fixed rate and report what came of them."`
 	Compare compareCmd `cmd:"" help:"Measure the dispatcher beside a reverse proxy and the stand-in called directly, in one run."`
+	Fronts  frontsCmd  `cmd:"" help:"Measure the AMQP front beside the HTTP/2 front, and fairness between them, in one run."`
 	Idle    idleCmd    `cmd:"" help:"Measure busy partners alone and beside many idle ones, some of which wake."`
 	Day     dayCmd     `cmd:"" help:"Play scripted days through a real dispatcher and check the rules from the sockets."`
 }
@@ -60,6 +61,7 @@
 	Scripts []string `arg:"" type:"existingfile" help:"Scripts, played one after the other."`
 	Seed    uint64   `help:"Another seed than the script's."`
 	Scale   float64  `default:"1" help:"Factor on all rates."`
+	AMQP    float64  `help:"Share of the messages that is handed in by AMQP, where the script names none."`
 	Log     bool     `help:"Show the dispatcher's own log."`
 }
 
@@ -72,6 +74,14 @@
 	Size        int           `default:"256" help:"Bytes of a body."`
 }
 
+type frontsCmd compareCmd
+
+func (c *frontsCmd) Run() error {
+	ctx, stop := interrupted()
+	defer stop()
+	return compare.Fronts(ctx, os.Stdout, compare.Options(*c))
+}
+
 type idleCmd struct {
 	Partners int           `default:"20000" help:"Partners in all."`
 	Busy     int           `default:"100" help:"Of them, with the steady load."`
@@ -244,6 +254,9 @@
 		return false, err
 	}
 	s.Scale = c.Scale
+	if s.AMQP == 0 {
+		s.AMQP = c.AMQP
+	}
 	if c.Seed > 0 {
 		s.Seed = c.Seed
 	}
--- a/internal/amqp/conn.go
+++ b/internal/amqp/conn.go
@@ -476,7 +476,7 @@
 			return
 		}
 	}
-	c.out = appendMethod(c.out, id, m)
+	c.out = AppendMethod(c.out, id, m)
 	c.sent = c.now
 }
 
@@ -485,7 +485,7 @@
 	if !c.Open(id) {
 		return
 	}
-	c.out = appendMethod(c.out, id, m)
+	c.out = AppendMethod(c.out, id, m)
 	c.out = appendContent(c.out, id, p, body, c.frameMax)
 	c.sent = c.now
 }
@@ -509,7 +509,7 @@
 		if ch == nil || ch.closing {
 			return
 		}
-		c.out = appendMethod(c.out, e.Channel, &ChannelClose{e.Code, e.reply(), e.Class, e.Method})
+		c.out = AppendMethod(c.out, e.Channel, &ChannelClose{e.Code, e.reply(), e.Class, e.Method})
 		c.sent = c.now
 		if ch.publish != nil {
 			c.partial--
@@ -518,7 +518,7 @@
 		c.handle(&Event{Kind: ChannelGone, Channel: e.Channel})
 		return
 	}
-	c.out = appendMethod(c.out, 0, &ConnectionClose{e.Code, e.reply(), e.Class, e.Method})
+	c.out = AppendMethod(c.out, 0, &ConnectionClose{e.Code, e.reply(), e.Class, e.Method})
 	c.sent = c.now
 	c.end(ending)
 	c.closeBy = c.now + min(c.cfg.Handshake, 2*time.Second)
@@ -560,7 +560,7 @@
 	case *ConnectionCloseOK:
 		c.phase = closed
 	case *ConnectionClose:
-		c.out = appendMethod(c.out, 0, &ConnectionCloseOK{})
+		c.out = AppendMethod(c.out, 0, &ConnectionCloseOK{})
 		c.phase = closed
 	}
 }
--- a/internal/amqp/frame.go
+++ b/internal/amqp/frame.go
@@ -84,8 +84,8 @@
 	return binary.BigEndian.AppendUint32(out, uint32(n))
 }
 
-// appendMethod appends a method as a frame.
-func appendMethod(out []byte, channel uint16, m Method) []byte {
+// AppendMethod appends a method as a frame (section 2.3.5.1).
+func AppendMethod(out []byte, channel uint16, m Method) []byte {
 	at := len(out)
 	out = appendFrameHead(out, frameMethod, channel, 0)
 	class, method := m.id()
--- a/internal/compare/compare.go
+++ b/internal/compare/compare.go
@@ -68,6 +68,7 @@
 type target struct {
 	name       string
 	addr       string
+	amqp       bool // by publish and confirm
 	throughput []float64
 	latency    *hdrhistogram.Histogram
 }
@@ -91,6 +92,14 @@
 	}
 	defer stop()
 	targets := []*target{{name: "direct", addr: e.Addr().String()}, {name: "ReverseProxy", addr: proxy}, {name: "whinrun", addr: s.Addr().String()}}
+	if err := inTurns(ctx, w, o, targets); err != nil {
+		return err
+	}
+	return memory(ctx, w, o)
+}
+
+// inTurns measures all targets and writes the table.
+func inTurns(ctx context.Context, w io.Writer, o Options, targets []*target) error {
 	for _, t := range targets {
 		t.latency = hdrhistogram.New(1, 60e6, 3)
 	}
@@ -117,7 +126,7 @@
 		q := func(x float64) float64 { return float64(t.latency.ValueAtQuantile(x)) / 1000 }
 		fmt.Fprintf(w, "%-14s %14.0f %10.2f %7.2f %7.2f\n", t.name, median(t.throughput), q(50), q(99), q(99.9))
 	}
-	return memory(ctx, w, o)
+	return nil
 }
 
 // startDispatcher starts a dispatcher with the settings given.
@@ -183,10 +192,20 @@
 	return ln.Addr().String(), func() { _ = srv.Close() }, nil
 }
 
+// client connects to the target, in its protocol.
+func (t *target) client(conns int) (load.Poster, func()) {
+	if t.amqp {
+		p := load.NewPublisher(t.addr, "t", "-", conns)
+		return p, p.Close
+	}
+	c := load.NewClient(t.addr, conns)
+	return c, c.Close
+}
+
 // saturate measures throughput at a fixed number of messages out.
 func (t *target) saturate(ctx context.Context, o Options) error {
-	c := load.NewClient(t.addr, o.Conns)
-	defer c.Close()
+	c, shut := t.client(o.Conns)
+	defer shut()
 	ctx, stop := context.WithTimeout(ctx, o.For)
 	defer stop()
 	var done, bad atomic.Int64
@@ -218,8 +237,8 @@
 
 // halfLoad measures latency at a fixed rate, from when each message was due.
 func (t *target) halfLoad(ctx context.Context, o Options, rate float64) {
-	c := load.NewClient(t.addr, o.Conns)
-	defer c.Close()
+	c, shut := t.client(o.Conns)
+	defer shut()
 	n := int(rate * o.For.Seconds())
 	msgs := make([]load.Message, n)
 	for i := range msgs {
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -28,6 +28,7 @@
 	Lag      time.Duration // of the endpoint list
 	Served   float64       // least share served that the day expects
 	Scale    float64       // factor on all rates, for a smaller machine
+	AMQP     float64       // share of the messages that is handed in by AMQP
 }
 
 // ClassSpec is a class of message of the day.
@@ -135,6 +136,8 @@
 		return pairs(f, map[string]any{"seed": &s.Seed})
 	case "length":
 		return pairs(f, map[string]any{"length": &s.Length})
+	case "amqp":
+		return pairs(f, map[string]any{"amqp": &s.AMQP})
 	case "lag":
 		return pairs(f, map[string]any{"lag": &s.Lag})
 	case "expect":
--- a/internal/load/amqp.go
+++ b/internal/load/amqp.go
@@ -101,17 +101,23 @@
 // Post publishes one message to the default exchange and waits for its confirm.
 func (p *Publisher) Post(ctx context.Context, m *Message) (status, wait int, name string, err error) {
 	l := p.lines[p.next.Add(1)%uint64(len(p.lines))]
-	ch, err := l.open(p.url)
-	if err != nil {
-		return 0, 0, "", err
-	}
 	pub := amqp.Publishing{Body: m.body(), CorrelationId: m.Test, MessageId: m.Repeat, Expiration: strconv.Itoa(m.TTL * 1000)}
 	if m.Key != "" {
 		pub.Headers = amqp.Table{"x-order-key": m.Key}
 	}
-	confirm, err := ch.PublishWithDeferredConfirmWithContext(ctx, "", m.Path, false, false, pub)
-	if err != nil {
-		return 0, 0, "", err
+	var ch *amqp.Channel
+	var confirm *amqp.DeferredConfirmation
+	for { // a channel found closed has sent nothing
+		if ch, err = l.open(p.url); err != nil {
+			return 0, 0, "", err
+		}
+		confirm, err = ch.PublishWithDeferredConfirmWithContext(ctx, "", m.Path, false, false, pub)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, amqp.ErrClosed) || ctx.Err() != nil {
+			return 0, 0, "", err
+		}
 	}
 	served, err := confirm.WaitContext(ctx)
 	switch {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -31,6 +31,7 @@
 	Withdraw time.Duration // the client gives up after this, 0 never
 	Patience time.Duration // the client gives up waiting after this, and that counts as no answer; 0 never
 	Partner  string
+	AMQP     bool // hand it in by AMQP, where there are both
 }
 
 // Outcome is what a client saw of a message.
@@ -49,6 +50,17 @@
 	Post(ctx context.Context, m *Message) (status, wait int, name string, err error)
 }
 
+// Fronts hands each message in by the front that it names.
+type Fronts struct{ Push, AMQP Poster }
+
+// Post is Poster.
+func (f Fronts) Post(ctx context.Context, m *Message) (status, wait int, name string, err error) {
+	if m.AMQP {
+		return f.AMQP.Post(ctx, m)
+	}
+	return f.Push.Post(ctx, m)
+}
+
 // Client is a set of connections to one dispatcher.
 type Client struct {
 	base  string
--- a/internal/service/amqp_test.go
+++ b/internal/service/amqp_test.go
@@ -1,10 +1,12 @@
 package service
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +15,7 @@
 
 	amqp "github.com/rabbitmq/amqp091-go"
 
+	wire "whinrun/internal/amqp"
 	"whinrun/internal/load"
 )
 
@@ -188,7 +191,7 @@
 			_, err := ch.Consume("q", "", false, false, false, false, nil)
 			return err
 		}, 404},
-		"acknowledged twice": {func(ch *amqp.Channel) error { return ch.Ack(7, false) }, 406},
+		"acknowledged twice":  {func(ch *amqp.Channel) error { return ch.Ack(7, false) }, 406},
 		"bind to the default": {func(ch *amqp.Channel) error { return ch.QueueBind("q", "k", "", false, nil) }, 404},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -347,3 +350,126 @@
 		t.Error("the stop left something")
 	}
 }
+
+// One message-id is one key, whichever front it comes by: partners that drop repeats see the same.
+func TestSameKeyOnBothFronts(t *testing.T) {
+	keys := make(chan string, 2)
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		keys <- r.Header.Get("Idempotency-Key") + r.Header.Get("Topic")
+		w.WriteHeader(201)
+	})
+	s := start(t, addr, withAMQP)
+	defer s.Kill()
+	c, p := load.NewClient(s.Addr().String(), 1), load.NewPublisher(s.AMQPAddr().String(), "t", "secret", 1)
+	defer c.Close()
+	defer p.Close()
+	for _, by := range []load.Poster{c, p} {
+		m := load.Message{Test: "x", Class: "status", Path: "/p/status", Token: "secret", TTL: 3, Repeat: "one", Key: "k"}
+		if status, _, _, err := by.Post(within(t), &m); status != 201 || err != nil {
+			t.Fatal(status, err)
+		}
+	}
+	if a, b := <-keys, <-keys; a != b || a != `"0/one"k` {
+		t.Errorf("%s and %s", a, b)
+	}
+}
+
+// A reader that acknowledges nothing fills its queue; then messages that name it are returned before they are taken,
+// and none of its answers is lost.
+func TestAMQPReaderBehind(t *testing.T) {
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(201) })
+	s := start(t, addr, strings.Replace(withAMQP, "[exchange", "queue-length = 5\n[exchange", 1))
+	defer s.Kill()
+	_, ch := dial(t, s)
+	returns := ch.NotifyReturn(make(chan amqp.Return, 10))
+	if err := ch.Confirm(false); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ch.QueueDeclare("mine", false, false, false, false, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := ch.QueueBind("mine", "#", "uploads", false, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := ch.Qos(2, 0, false); err != nil {
+		t.Fatal(err)
+	}
+	answers, err := ch.Consume("mine", "c", false, false, false, false, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 7 {
+		d, err := ch.PublishWithDeferredConfirmWithContext(within(t), "uploads", "p", false, false, amqp.Publishing{MessageId: fmt.Sprint("m", i)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ok, err := d.WaitContext(within(t)); ok != (i < 5) || err != nil {
+			t.Errorf("message %d: %v %v", i, ok, err)
+		}
+	}
+	if r := <-returns; r.MessageId != "m5" || !strings.Contains(r.ReplyText, "queue is full") {
+		t.Errorf("%s: %s", r.MessageId, r.ReplyText)
+	}
+	if err := ch.Cancel("c", false); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		a := <-answers
+		if err := a.Reject(true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 5 {
+		a, ok, err := ch.Get("mine", true)
+		if !ok || err != nil || a.CorrelationId != fmt.Sprint("m", i) || a.Redelivered != (i < 2) {
+			t.Errorf("answer %d: %s, %v %v, again %v", i, a.CorrelationId, ok, err, a.Redelivered)
+		}
+	}
+	if _, ok, _ := ch.Get("mine", true); ok {
+		t.Error("a sixth answer")
+	}
+}
+
+// A client whose library does not know connection.blocked is asked by channel.flow. What it publishes without confirms
+// above the limits closes its channel: nothing else would tell it.
+func TestAMQPFlow(t *testing.T) {
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+	})
+	s := start(t, addr, withAMQP+"[limits]\nhold = 16\n")
+	defer s.Kill()
+	c, err := net.Dial("tcp", s.AMQPAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	b := wire.AppendMethod([]byte(wire.ProtocolHeader), 0, &wire.ConnectionStartOK{Mechanism: "PLAIN", Response: "\x00t\x00secret"})
+	b = wire.AppendMethod(b, 0, &wire.ConnectionTuneOK{})
+	b = wire.AppendMethod(b, 0, &wire.ConnectionOpen{VHost: "/"})
+	b = wire.AppendMethod(b, 1, &wire.ChannelOpen{})
+	publish := wire.AppendMethod(nil, 1, &wire.BasicPublish{Exchange: "uploads", Key: "p"})
+	publish = append(publish, 2, 0, 1, 0, 0, 0, 14, 0, 60, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xCE) // an empty body
+	for range 15 {
+		b = append(b, publish...)
+	}
+	see := func(m wire.Method) {
+		t.Helper()
+		want, got, buf := wire.AppendMethod(nil, 1, m), []byte(nil), make([]byte, 4096)
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		for !bytes.Contains(got, want[7:min(len(want), 13)]) {
+			n, err := c.Read(buf)
+			if err != nil {
+				t.Fatalf("%T never came: %v", m, err)
+			}
+			got = append(got, buf[:n]...)
+		}
+	}
+	if _, err := c.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	see(&wire.ChannelFlow{Active: false})
+	if _, err := c.Write(append(append(publish, publish...), publish...)); err != nil {
+		t.Fatal(err)
+	}
+	see(&wire.ChannelClose{Code: wire.ContentTooLarge})
+}
