An audit trail: every attempt on record, chained and sealed; verify, show, find, report

Need: senders want proof of what became of their messages, and operators a record that survives a crash. While the disk fails the door is shut for new messages, those held are answered.

--- a/cmd/whinlab/main.go
+++ b/cmd/whinlab/main.go
@@ -27,6 +27,7 @@
 	Send    sendCmd    `cmd:"" help:"Hand messages to a dispatcher at a fixed rate and report what came of them."`
 	Compare compareCmd `cmd:"" help:"Measure the dispatcher beside a reverse proxy and the stand-in called directly, in one run."`
 	Fronts  frontsCmd  `cmd:"" help:"Measure the AMQP front beside the HTTP/2 front, and fairness between them, in one run."`
+	Trail   trailCmd   `cmd:"" help:"Measure delivery with the audit trail on and off, in one run."`
 	Idle    idleCmd    `cmd:"" help:"Measure busy partners alone and beside many idle ones, some of which wake."`
 	Day     dayCmd     `cmd:"" help:"Play scripted days through a real dispatcher and check the rules from the sockets."`
 }
@@ -72,6 +73,7 @@
 	Rounds      int           `default:"5" help:"Rounds, in turns."`
 	Pace        time.Duration `default:"1ms" help:"Mean time of a call at the stand-in."`
 	Size        int           `default:"256" help:"Bytes of a body."`
+	Rate        float64       `help:"Messages a second at which latency is measured. Default: half of what the slowest bears."`
 }
 
 type frontsCmd compareCmd
@@ -82,6 +84,14 @@
 	return compare.Fronts(ctx, os.Stdout, compare.Options(*c))
 }
 
+type trailCmd compareCmd
+
+func (c *trailCmd) Run() error {
+	ctx, stop := interrupted()
+	defer stop()
+	return compare.Trail(ctx, os.Stdout, compare.Options(*c))
+}
+
 type idleCmd struct {
 	Partners int           `default:"20000" help:"Partners in all."`
 	Busy     int           `default:"100" help:"Of them, with the steady load."`
--- a/cmd/whinrun/main.go
+++ b/cmd/whinrun/main.go
@@ -1,4 +1,4 @@
-// Command whinrun is the dispatcher: it takes messages over HTTP/2 push and carries them to partners.
+// Command whinrun is the dispatcher: it takes messages over HTTP/2 push and AMQP and carries them to partners.
 package main
 
 import (
@@ -21,6 +21,7 @@
 var cli struct {
 	Serve     serveCmd     `cmd:"" help:"Run the dispatcher."`
 	Check     checkCmd     `cmd:"" help:"Say what is wrong with a settings file, a line each; exit 2 if anything is."`
+	Audit     auditCmd     `cmd:"" help:"Look into the trail of all messages, and check it."`
 	Demo      demoCmd      `cmd:"" help:"Show a dispatcher with stand-in partners and a short load, in one process on loopback."`
 	Reference referenceCmd `cmd:"" help:"Print the reference of all settings."`
 	Version   versionCmd   `cmd:"" help:"Print the version."`
--- a/control/api.go
+++ b/control/api.go
@@ -222,5 +222,5 @@
 	Endpoint Endpoint
 	After    Time
 	Mark     uint64
-	Text     string
+	Text     string // Note, Share: their text; Refuse, Fail: the reason, in words
 }
--- a/control/control.go
+++ b/control/control.go
@@ -248,10 +248,25 @@
 // due answers a message whose time is nearly up, or that can't be sent any more.
 func (d *Dispatcher) due(m *message) {
 	if d.now+2*d.set.Tick >= m.deadline || m.held && d.spent(m) {
-		d.finish(m, true)
+		d.finish(m, true, d.why(m))
 	}
 }
 
+// why tells what ends a message, for records: it decides nothing.
+func (d *Dispatcher) why(m *message) string {
+	switch {
+	case d.now+2*d.set.Tick >= m.deadline:
+		return "its time ends"
+	case m.doubt && m.class.Effect == SingleShot:
+		return "it may have run, and its class does not allow a repeat"
+	case m.tries >= d.set.MaxTries:
+		return "all attempts allowed are made"
+	case m.doubt && m.class.Effect == Guarded && d.now+d.set.Tick >= m.doubtAt+m.class.Window:
+		return "it may have run, and partners forget its key before it could go again"
+	}
+	return "nothing opens for it before its time ends"
+}
+
 // closing cuts the time of all that is held, for a dispatcher that stops: each has its answer before that.
 // Guards against leaving clients without one. It could hurt by refusing what would soon have been served.
 func (d *Dispatcher) closing(in Time) {
@@ -264,8 +279,8 @@
 }
 
 // finish gives a final answer: handed back, if that is wanted and provably harmless, else failed.
-func (d *Dispatcher) finish(m *message, back bool) {
-	a := Action{Kind: Fail, Message: m.id}
+func (d *Dispatcher) finish(m *message, back bool, why string) {
+	a := Action{Kind: Fail, Message: m.id, Text: why}
 	if back && d.refusable(m) {
 		if a.Kind = Refuse; d.set.RetryAfter {
 			a.After = min(max(d.opens(m)-d.now, 0), d.set.MaxRetryAfter)
@@ -311,7 +326,7 @@
 		}
 		// Other senders know as little of a limit where traffic is rare: clients should not try them.
 		hopeless := worst.dest.pace.allow < 1 && worst.dest.demand.rate(d.now)*d.aim.seconds() < 1
-		d.finish(worst, !hopeless)
+		d.finish(worst, !hopeless, "more is held than there is room for, and it is worth least")
 	}
 }
 
--- /dev/null
+++ b/internal/audit/keeper.go
@@ -0,0 +1,185 @@
+package audit
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"whinrun/internal/disk"
+	"whinrun/internal/logstore"
+	"whinrun/internal/logstore/plan"
+)
+
+// Config of a Keeper.
+type Config struct {
+	Folder    string // empty: no trail is kept
+	Policy    plan.Policy
+	Buffer    int           // bytes that wait for a disk that fails
+	SealEvery time.Duration // a seal this soon after a record
+}
+
+// tendEvery is how often upkeep is looked for.
+const tendEvery = 200 * time.Millisecond
+
+// Keeper owns the trail of a running dispatcher: it writes, syncs and seals on a goroutine of its own, so that no
+// answer waits for the disk.
+type Keeper struct {
+	*Trail
+	cfg   Config
+	store *logstore.Store
+	now   func() time.Duration
+	log   func(format string, a ...any)
+	bad   func(error) // told when the disk begins to fail, and with nil when it works again
+
+	mu    sync.Mutex
+	queue []*Record // not encoded yet
+	most  int       // of them
+
+	wake chan struct{}
+	quit chan struct{}
+	done sync.WaitGroup
+}
+
+// Open opens the folder and goes on with its trail. now is the dispatcher's clock.
+func Open(cfg Config, now func() time.Duration, log func(string, ...any), bad func(error)) (*Keeper, error) {
+	folder, err := disk.OpenFolder(cfg.Folder)
+	if err != nil {
+		return nil, fmt.Errorf("audit: %w", err)
+	}
+	key, err := OpenKey(cfg.Folder)
+	if err != nil {
+		return nil, fmt.Errorf("audit: %w", err)
+	}
+	return open(cfg, folder, key, now, log, bad)
+}
+
+func open(cfg Config, fs disk.FS, key *Key, now func() time.Duration, log func(string, ...any), bad func(error)) (*Keeper, error) {
+	store, rep, err := logstore.Open(fs, logstore.Options{Policy: cfg.Policy, Buffer: cfg.Buffer, Labels: Labels, Wall: time.Now})
+	if err != nil {
+		return nil, fmt.Errorf("audit: %w", err)
+	}
+	for _, p := range rep.Problems {
+		log("the trail: %s", p)
+	}
+	if rep.Torn > 0 {
+		log("the trail: %d bytes at its end were not whole; they are kept beside it", rep.Torn)
+	}
+	trail, err := Resume(store, key, time.Now)
+	if err != nil {
+		_ = store.Close(now())
+		return nil, err
+	}
+	k := &Keeper{Trail: trail, cfg: cfg, store: store, now: now, log: log, bad: bad, most: cfg.Buffer / 128, wake: make(chan struct{}, 1), quit: make(chan struct{})}
+	k.done.Go(k.run)
+	return k, nil
+}
+
+// Put takes a record, which is encoded and hashed on the Keeper's goroutine: the engine's has better to do.
+func (k *Keeper) Put(r *Record) {
+	r.At = time.Now().UnixMicro()
+	k.mu.Lock()
+	full := len(k.queue) >= k.most
+	if !full {
+		k.queue = append(k.queue, r)
+	}
+	first := len(k.queue) == 1
+	k.mu.Unlock()
+	if full {
+		k.lose()
+	}
+	if first {
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// take writes down what has been put.
+func (k *Keeper) take(now time.Duration) {
+	k.mu.Lock()
+	queue := k.queue
+	k.queue = nil
+	k.mu.Unlock()
+	for _, r := range queue {
+		k.Write(now, r)
+	}
+}
+
+// Close seals and writes all, and ends the Keeper.
+func (k *Keeper) Close() error {
+	close(k.quit)
+	k.done.Wait()
+	k.take(k.now())
+	if err := k.Seal(k.now()); err != nil {
+		k.log("the trail can't be sealed: %v", err)
+	}
+	return k.store.Close(k.now())
+}
+
+// Kill ends the Keeper as a crash would: what waits is not written.
+func (k *Keeper) Kill() {
+	close(k.quit)
+	k.done.Wait()
+	k.store.Abandon()
+}
+
+// Now is the dispatcher's clock.
+func (k *Keeper) Now() time.Duration { return k.now() }
+
+// Usage is what the trail takes on disk.
+func (k *Keeper) Usage() logstore.Usage { return k.store.Usage() }
+
+func (k *Keeper) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var sealAt, tendAt time.Duration
+	failing := false
+	for {
+		now := k.now()
+		k.take(now)
+		if at, ok := k.store.Due(); ok && at <= now {
+			failing = k.commit(now, failing)
+		}
+		if !failing && now >= sealAt {
+			sealAt = now + k.cfg.SealEvery
+			if err := k.Seal(now); err != nil {
+				k.log("the trail can't be sealed: %v", err)
+			}
+		}
+		if !failing && now >= tendAt {
+			tendAt = now + tendEvery
+			if _, err := k.store.Tend(); err != nil {
+				k.log("upkeep of the trail: %v", err)
+			}
+		}
+		next := min(sealAt, tendAt)
+		if at, ok := k.store.Due(); ok {
+			next = min(next, at)
+		}
+		if failing {
+			at, _ := k.store.Due()
+			next = at
+		}
+		timer.Reset(max(next-k.now(), time.Millisecond))
+		select {
+		case <-timer.C:
+		case <-k.wake:
+		case <-k.quit:
+			return
+		}
+	}
+}
+
+// commit writes what waits, and tells of a disk that begins or ceases to fail.
+func (k *Keeper) commit(now time.Duration, was bool) (failing bool) {
+	err := k.store.Commit(now)
+	if err != nil && !was {
+		k.log("the trail can't be written, no new messages are taken: %v", err)
+		k.bad(err)
+	} else if err == nil && was {
+		k.log("the trail is written again; %d records are missing", k.Lost())
+		k.bad(nil)
+	}
+	return err != nil
+}
--- /dev/null
+++ b/internal/audit/key.go
@@ -0,0 +1,114 @@
+package audit
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// Key signs seals and receipts: Ed25519 (RFC 8032), in PEM files as other tools read them (RFC 8410).
+type Key struct {
+	private ed25519.PrivateKey
+	id      string
+}
+
+// ID names a key: the first 8 bytes of the hash of the public one, in hexadecimal digits.
+func (k *Key) ID() string { return k.id }
+
+// Sign signs a text.
+func (k *Key) Sign(b []byte) []byte { return ed25519.Sign(k.private, b) }
+
+func keyID(p ed25519.PublicKey) string {
+	sum := sha256.Sum256(p)
+	return hex.EncodeToString(sum[:8])
+}
+
+const privateFile = "signing-key.pem"
+
+// OpenKey reads the signing key of a folder, or makes one. Public keys are left beside it, one file for each key that
+// ever signed: seals by a key that was replaced stay checkable.
+func OpenKey(folder string) (*Key, error) {
+	name := filepath.Join(folder, privateFile)
+	b, err := os.ReadFile(name)
+	if errors.Is(err, os.ErrNotExist) {
+		b, err = makeKey(name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	block, _ := pem.Decode(b)
+	if block == nil {
+		return nil, fmt.Errorf("%s: not PEM", name)
+	}
+	any, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	private, ok := any.(ed25519.PrivateKey)
+	if !ok {
+		return nil, fmt.Errorf("%s: not an Ed25519 key", name)
+	}
+	public := private.Public().(ed25519.PublicKey)
+	k := &Key{private, keyID(public)}
+	der, err := x509.MarshalPKIXPublicKey(public)
+	if err != nil {
+		return nil, err
+	}
+	return k, writeFile(filepath.Join(folder, "key-"+k.id+".pub.pem"), pem.EncodeToMemory(&pem.Block{Type: "PUBLIC KEY", Bytes: der}), 0o644)
+}
+
+func makeKey(name string) ([]byte, error) {
+	_, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	der, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return nil, err
+	}
+	b := pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der})
+	return b, writeFile(name, b, 0o600)
+}
+
+func writeFile(name string, b []byte, mode os.FileMode) error {
+	if err := os.WriteFile(name+".new", b, mode); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
+}
+
+// PublicKeys reads all public keys of a folder, by their ids.
+func PublicKeys(folder string) (map[string]ed25519.PublicKey, error) {
+	names, err := filepath.Glob(filepath.Join(folder, "*.pub.pem"))
+	if err != nil {
+		return nil, err
+	}
+	keys := map[string]ed25519.PublicKey{}
+	for _, name := range names {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		block, _ := pem.Decode(b)
+		if block == nil {
+			return nil, fmt.Errorf("%s: not PEM", name)
+		}
+		any, err := x509.ParsePKIXPublicKey(block.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		p, ok := any.(ed25519.PublicKey)
+		if !ok {
+			return nil, fmt.Errorf("%s: not an Ed25519 key", name)
+		}
+		keys[keyID(p)] = p
+	}
+	return keys, nil
+}
--- a/internal/compare/compare.go
+++ b/internal/compare/compare.go
@@ -35,6 +35,7 @@
 	Rounds      int
 	Pace        time.Duration // mean time of a call at the stand-in
 	Size        int
+	Rate        float64 // at which latency is measured; 0 is half of what the slowest bears
 }
 
 const settings = `[dispatcher]
@@ -113,6 +114,9 @@
 	}
 	slowest := slices.MinFunc(targets, func(a, b *target) int { return int(median(a.throughput) - median(b.throughput)) })
 	rate := median(slowest.throughput) / 2
+	if o.Rate > 0 {
+		rate = o.Rate
+	}
 	for round := range o.Rounds {
 		for i := range targets {
 			t := targets[(i+round)%len(targets)]
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,11 +10,13 @@
 	"whinrun/control"
 	"whinrun/internal/amqp"
 	"whinrun/internal/amqpfront"
+	"whinrun/internal/audit"
 	"whinrun/internal/door"
 	"whinrun/internal/engine"
 	"whinrun/internal/front"
 	"whinrun/internal/h2"
 	"whinrun/internal/intake"
+	"whinrun/internal/logstore/plan"
 	"whinrun/internal/mailbox"
 	"whinrun/internal/opener"
 	"whinrun/internal/outbound"
@@ -32,6 +34,7 @@
 	AMQPDesk amqpfront.Config
 	Outbound outbound.Config
 	Bounds   engine.Bounds
+	Audit    audit.Config
 	Door     door.Limits
 
 	Garbage    int // percent, as of debug.SetGCPercent
@@ -102,6 +105,10 @@
 		AbuseBurst: l.num["abuse-burst"], AbuseRate: l.num["abuse-rate"]}
 	c.Front = front.Config{Address: d.raw["listen"], Loops: d.int("loops"), Unread: l.int("unread")}
 	r.amqp(c, d, l)
+	a := r.single("audit")
+	c.Audit = audit.Config{Folder: a.raw["folder"], Buffer: a.int("buffer"), SealEvery: a.span("seal-every"),
+		Policy: plan.Policy{SyncWithin: a.span("sync-within"), SyncBytes: 256 << 10, SegmentBytes: int64(a.num["segment"]),
+			KeepFor: a.span("keep-for"), KeepBytes: int64(a.num["keep-bytes"]), RetryEvery: time.Second}}
 	c.Push = pushfront.Config{Idle: l.span("client-idle"), H2: bounds}
 	bounds.MaxStreams, bounds.StreamWindow, bounds.ConnWindow = 1, 64<<10, 1<<20
 	c.Outbound = outbound.Config{Loops: d.int("loops"), Conns: o.int("connections"), Streams: o.int("streams"),
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -117,6 +117,15 @@
 		{"file", text, "", false, 0, 0, "", "list of endpoints, a line each: PARTNER ADDRESS ready|draining; read again when it changes"},
 		{"every", span, "1s", false, 0.02, 3600, "", "how often it is looked at"},
 	}},
+	{"audit", false, "The trail of all messages on disk; see audit.md. Without a folder none is kept.", []keySpec{
+		{"folder", text, "", false, 0, 0, "", "where the trail and its keys are; one dispatcher has it at a time"},
+		{"sync-within", span, "20ms", false, 0.001, 60, "", "a record is on disk this soon; a crash loses no more than that"},
+		{"seal-every", span, "1s", false, 0.01, 3600, "", "records are sealed with the signing key this often"},
+		{"segment", size, "8MiB", false, 4096, 1 << 30, "", "a file of the trail is closed, and then compressed, at this size"},
+		{"keep-for", span, "720h", false, 0, maxSpan, "", "closed files are kept this long; 0 is for ever"},
+		{"keep-bytes", size, "1GiB", false, 0, 1 << 40, "", "and within this in all; 0 is no bound"},
+		{"buffer", size, "8MiB", false, 65536, 1 << 30, "", "records that wait for a disk that fails; no new messages are taken meanwhile"},
+	}},
 	{"class", true, "A class of message.", []keySpec{
 		{"effect", choice, "", true, 0, 0, "safe keyed unsafe", "what a repeat does: nothing, dropped by its key for a window, takes effect again"},
 		{"aim", span, "", true, 0.001, maxSpan, "", "delivered within this it earns its full worth"},
--- a/internal/day/check.go
+++ b/internal/day/check.go
@@ -79,6 +79,9 @@
 	c.returns()
 	c.order()
 	c.waits()
+	if r.Trailed {
+		c.trail()
+	}
 	sort.SliceStable(c.breaches, func(i, j int) bool { return c.breaches[i].At < c.breaches[j].At })
 	return c.breaches
 }
--- a/internal/day/check_test.go
+++ b/internal/day/check_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"whinrun/control"
+	"whinrun/internal/audit"
 	"whinrun/internal/load"
 	"whinrun/internal/partner"
 )
@@ -161,3 +162,35 @@
 	f.Add("partner a endpoints 2 rate 5\nload a status 5/s keys 3\nat 1s a.1 pauses 1s 2s for 3s\nat 2s load burst a x3")
 	f.Fuzz(func(t *testing.T, text string) { _, _ = Parse("d", text) })
 }
+
+// The comparer of trails catches a planted loss, an invention, two attempts at once, and what comes after the answer.
+func TestTrailCheckCatches(t *testing.T) {
+	rec := func(kind audit.Kind, attempt int) *audit.Record {
+		return &audit.Record{Kind: kind, Message: "ma", Attempt: attempt, Endpoint: ep1.String(), Status: 201}
+	}
+	well := []*audit.Record{rec(audit.Accepted, 0), rec(audit.Started, 1), rec(audit.Ended, 1), rec(audit.Answered, 0)}
+	for _, c := range []struct {
+		name, want string
+		trail      []*audit.Record
+	}{
+		{"well", "", well},
+		{"an attempt is missing", "is not in the trail", []*audit.Record{well[0], well[3]}},
+		{"an attempt is invented", "which no stand-in saw", append(well[:3:3], rec(audit.Started, 2), rec(audit.Ended, 2), well[3])},
+		{"two at once", "while 1 was", []*audit.Record{well[0], well[1], rec(audit.Started, 2), rec(audit.Ended, 2), well[3]}},
+		{"after the answer", "after the final answer", append(well[:4:4], rec(audit.Started, 2))},
+		{"two answers", "a second final answer", append(well[:4:4], well[3])},
+		{"another endpoint", "the trail has", []*audit.Record{well[0], {Kind: audit.Started, Message: "ma", Attempt: 1, Endpoint: "x"}, well[2], well[3]}},
+	} {
+		r := quiet()
+		r.call(1*second, "a", "safe", "-", ep1, 1, ev(2*second, partner.Applied, 0), ev(2*second, partner.Answer, 201))
+		r.client("a", "safe", second, 2*second, 201)
+		r.Trail, r.Trailed = c.trail, true
+		got := ""
+		for _, b := range Check(r) {
+			got += b.String()
+		}
+		if (c.want == "") != (got == "") || !strings.Contains(got, c.want) {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"slices"
 	"sort"
 	"strconv"
@@ -15,6 +16,7 @@
 	"time"
 
 	"whinrun/control"
+	"whinrun/internal/audit"
 	"whinrun/internal/config"
 	"whinrun/internal/load"
 	"whinrun/internal/logs"
@@ -43,6 +45,10 @@
 	Lives    []Life
 	Rules    control.Settings
 	Unclean  bool // an orderly stop left messages without an answer
+
+	Trailed       bool // a trail was kept
+	Trail         []*audit.Record
+	TrailProblems []string
 }
 
 // list is the endpoint list of a day: what stands in it, and what the dispatcher sees of that.
@@ -124,6 +130,7 @@
 	logger   *logs.Logger
 	addr     string
 	amqpAddr string
+	folder   string // of the audit trail
 
 	mu    sync.Mutex
 	svc   *service.Service
@@ -136,6 +143,11 @@
 func Run(ctx context.Context, s *Script, lines io.Writer) (*Record, error) {
 	r := &runner{s: s, log: partner.NewLog(4 << 20), partners: map[string]*partner.Partner{}}
 	r.list = &list{now: r.log.Now, lag: s.Lag}
+	var err error
+	if r.folder, err = os.MkdirTemp("", "whinrun-day"); err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(r.folder) }()
 	if err := r.setUp(lines); err != nil {
 		return nil, err
 	}
@@ -166,6 +178,10 @@
 	r.stop(true)
 	r.rec.Script, r.rec.Outcomes, r.rec.Events = s, out, r.log.Events()
 	r.rec.Told, r.rec.Lives, r.rec.Rules = r.list.told, r.lives, r.cfg.Module
+	r.rec.Trailed = true
+	if r.rec.Trail, r.rec.TrailProblems, err = readTrail(r.folder); err != nil {
+		r.errs = append(r.errs, err)
+	}
 	return &r.rec, errors.Join(append(r.errs, ctx.Err())...)
 }
 
@@ -204,7 +220,7 @@
 func (r *runner) settings() string {
 	by := map[string]map[string]string{"dispatcher": {"listen": "127.0.0.1:0", "stop-within": "4s"}, "list": {"every": "20ms"},
 		"rules": {"cold-from": "0.2", "warm-up": "3s", "tip-multiple": "2", "overload-for": "1s", "drain-grace": "1s", "settle-after-doubt": "500ms"},
-		"amqp":  {"listen": "127.0.0.1:0", "heartbeat": "1s"}, "limits": {}, "outbound": {"connect-timeout": "500ms"}}
+		"audit": {"folder": r.folder}, "amqp": {"listen": "127.0.0.1:0", "heartbeat": "1s"}, "limits": {}, "outbound": {"connect-timeout": "500ms"}}
 	for k, v := range r.s.Settings {
 		section, key, _ := strings.Cut(k, ".")
 		if by[section] == nil {
--- /dev/null
+++ b/internal/day/trail.go
@@ -0,0 +1,109 @@
+package day
+
+import (
+	"fmt"
+	"time"
+
+	"whinrun/internal/audit"
+	"whinrun/internal/disk"
+)
+
+// lossWindow is how long before a kill records may be missing: the trail is synced within 20 ms, on a busy machine.
+const lossWindow = 500 * time.Millisecond
+
+// readTrail reads and verifies the trail of a day.
+func readTrail(folder string) (all []*audit.Record, problems []string, err error) {
+	fs, err := disk.OpenFolder(folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	store, rep, err := audit.OpenReader(fs)
+	if err != nil {
+		return nil, nil, err
+	}
+	keys, err := audit.PublicKeys(folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	v, err := audit.Verify(store, keys)
+	if err != nil {
+		return nil, nil, err
+	}
+	all, err = audit.All(store)
+	return all, append(rep.Problems, v.Problems...), err
+}
+
+// call names an attempt, as the dispatcher and the stand-ins both do.
+type call struct {
+	message string
+	attempt int
+}
+
+// trail holds the dispatcher's own trail against what stand-ins saw on their sockets: no attempt is missing, none that
+// was answered is invented, at most one is out for a message at any moment, one final answer for each, and nothing after.
+func (c *checker) trail() {
+	for _, p := range c.r.TrailProblems {
+		c.breachTrail("the trail: %s", p)
+	}
+	started := map[call]*audit.Record{}
+	out, answered := map[string]int{}, map[string]bool{}
+	for _, r := range c.r.Trail {
+		switch r.Kind {
+		case audit.Started:
+			if out[r.Message] != 0 {
+				c.breachTrail("message %s: attempt %d went out while %d was", r.Message, r.Attempt, out[r.Message])
+			}
+			if answered[r.Message] {
+				c.breachTrail("message %s: attempt %d went out after the final answer", r.Message, r.Attempt)
+			}
+			out[r.Message] = r.Attempt
+			started[call{r.Message, r.Attempt}] = r
+		case audit.Ended:
+			if out[r.Message] != r.Attempt {
+				c.breachTrail("message %s: attempt %d ended, %d was out", r.Message, r.Attempt, out[r.Message])
+			}
+			out[r.Message] = 0
+		case audit.Answered, audit.Withdrawn:
+			if answered[r.Message] {
+				c.breachTrail("message %s: a second final answer", r.Message)
+			}
+			answered[r.Message] = true
+		}
+	}
+	c.trailOfCalls(started)
+}
+
+// trailOfCalls compares attempts one by one.
+func (c *checker) trailOfCalls(started map[call]*audit.Record) {
+	seen := map[call]bool{}
+	for _, a := range c.attempts {
+		n := 0
+		_, _ = fmt.Sscan(a.arrived.Attempt, &n)
+		k := call{a.arrived.Message, n + 1}
+		seen[k] = true
+		switch r := started[k]; {
+		case r == nil && !c.beforeKill(a.arrived.At):
+			c.breachTrail("message %s: attempt %d came to %v and is not in the trail", k.message, k.attempt, a.arrived.Endpoint)
+		case r != nil && r.Endpoint != a.arrived.Endpoint.String():
+			c.breachTrail("message %s: attempt %d came to %v, the trail has %s", k.message, k.attempt, a.arrived.Endpoint, r.Endpoint)
+		}
+	}
+	for _, r := range c.r.Trail {
+		if k := (call{r.Message, r.Attempt}); r.Kind == audit.Ended && r.Status >= 200 && !seen[k] {
+			c.breachTrail("message %s: the trail has an answer to attempt %d, which no stand-in saw", k.message, k.attempt)
+		}
+	}
+}
+
+// beforeKill tells that records of a moment may have been lost with a killed dispatcher.
+func (c *checker) beforeKill(at time.Duration) bool {
+	for _, l := range c.r.Lives {
+		if l.To > 0 && l.Stopping == 0 && at > l.To-lossWindow && at < l.To+lossWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// breachTrail reports a trail that is not what happened, as rule 0.
+func (c *checker) breachTrail(format string, a ...any) { c.breach(0, 0, "-", "trail", format, a...) }
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -45,6 +45,7 @@
 	limits  Limits
 	core    Core
 	blocked atomic.Bool
+	shut    atomic.Pointer[error]
 
 	mu       sync.Mutex
 	valve    Valve
@@ -61,6 +62,15 @@
 	return &Door{limits: l, core: core, tenants: make([]int64, tenants), valve: Valve{High: l.BlockAt, Low: l.UnblockAt}}
 }
 
+// Shut has no more messages taken, for the reason given, until it is called with nil. Those taken are not touched.
+func (d *Door) Shut(reason error) {
+	if reason == nil {
+		d.shut.Store(nil)
+		return
+	}
+	d.shut.Store(&reason)
+}
+
 // Side is one front's way through the door.
 type Side struct {
 	Name string
@@ -187,6 +197,9 @@
 // Submit hands the whole message over. An error tells why it is not taken; the ticket is then still to be ended.
 func (t *Ticket) Submit(m *engine.Message) error {
 	d := t.side.d
+	if reason := d.shut.Load(); reason != nil {
+		return *reason
+	}
 	d.mu.Lock()
 	d.held++ // before the engine can answer
 	d.level()
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -29,7 +29,8 @@
 	Late   bool         // Failed: its time ended
 	Status int          // the partner's last status, 0 if there was none
 	Tries  int
-	Why    string
+	Why    string // of its last attempt
+	Reason string // the module's, where it ended the message and not a partner's answer
 }
 
 // Origin is where a message came from. Final is called once at most for each message, on the engine's goroutine; it
@@ -99,8 +100,20 @@
 	Entries []control.Entry
 }
 
+// Trail takes down what happens to messages, as it happens. Its methods are called on the engine's goroutine; they must
+// not block, and keep nothing of what they are given.
+type Trail interface {
+	Accepted(m *Message)
+	Started(a *Attempt)
+	Ended(a *Attempt, e *End, v Verdict, after bool) // after: the message had its final answer before
+	Withdrawn(m *Message)
+	Answered(m *Message, a *Answer)
+	Learned(e *control.Entry)
+}
+
 // Policy is what the engine must know of a message beside the module's settings.
 type Policy struct {
+	Trail    Trail // nil for none
 	Settings control.Settings
 	OwnPath  []bool // for each kind of destination: paths belong to messages (see Judge)
 }
@@ -211,6 +224,9 @@
 	c.msgs[m.ID] = &held{msg: m, due: c.now + life}
 	c.stats.Taken++
 	c.stats.Open++
+	if c.pol.Trail != nil {
+		c.pol.Trail.Accepted(m)
+	}
 	c.events = append(c.events, control.Event{Kind: control.Arrival, Message: m.ID, Class: m.Class, Tenant: m.Tenant,
 		Dest: m.Dest, Key: m.Key, Grace: life})
 }
@@ -222,12 +238,18 @@
 	}
 	c.over(h)
 	c.stats.Withdrawn++
+	if c.pol.Trail != nil {
+		c.pol.Trail.Withdrawn(h.msg)
+	}
 	c.events = append(c.events, control.Event{Kind: control.Withdrawn, Message: id})
 }
 
 func (c *Core) list(l *List) {
-	for _, e := range l.Entries {
+	for i, e := range l.Entries {
 		c.kinds[e.Endpoint] = e.Kind
+		if c.pol.Trail != nil && l.Kind == control.ListDelta {
+			c.pol.Trail.Learned(&l.Entries[i])
+		}
 	}
 	c.events = append(c.events, control.Event{Kind: control.List, ListKind: l.Kind, Entries: l.Entries})
 }
@@ -247,6 +269,9 @@
 	if e.Detail != "" {
 		h.lastWhy += " (" + e.Detail + ")"
 	}
+	if c.pol.Trail != nil {
+		c.pol.Trail.Ended(a, e, v, h.ended)
+	}
 	if !h.ended && v.Final {
 		kind := Failed
 		if e.Kind == Answered && e.Status < 300 {
@@ -281,6 +306,9 @@
 		c.stats.Failed++
 	}
 	c.over(h)
+	if c.pol.Trail != nil {
+		c.pol.Trail.Answered(h.msg, &a)
+	}
 	h.msg.Origin.Final(h.msg, a)
 }
 
@@ -339,6 +367,9 @@
 	h.out = at
 	c.out[at.Seq] = at
 	c.stats.Attempts++
+	if c.pol.Trail != nil {
+		c.pol.Trail.Started(at)
+	}
 	heap.Push(&c.timers, timer{at: at.Due, seq: at.Seq})
 	c.back.Start(at)
 }
@@ -349,11 +380,11 @@
 		return
 	}
 	if a.Kind == control.Refuse {
-		c.answer(h, Answer{Final: Refused, Wait: a.After})
+		c.answer(h, Answer{Final: Refused, Wait: a.After, Reason: a.Text})
 		return
 	}
 	late := c.now+3*c.pol.Settings.Tick >= h.due
-	c.answer(h, Answer{Final: Failed, Late: late})
+	c.answer(h, Answer{Final: Failed, Late: late, Reason: a.Text})
 }
 
 // timer is a Tick that the module asked for, or the time-out of an attempt.
--- a/internal/logstore/store.go
+++ b/internal/logstore/store.go
@@ -53,20 +53,21 @@
 	opt    Options
 	unlock io.Closer
 
-	mu       sync.Mutex
-	closed   []segment
-	last     segment
-	file     disk.File
-	marks    []mark // of the last segment, written and not
-	next     uint64 // number of the next record
-	durable  uint64 // all below are on disk
-	pending  []byte // whole records, from written on
-	written  uint64 // number of the first record in pending
-	since    time.Duration
-	urgent   bool
-	failed   time.Duration
-	lastErr  error
-	Dropped  uint64 // records for which there was no room while the disk failed
+	mu      sync.Mutex
+	closed  []segment
+	last    segment
+	file    disk.File
+	marks   []mark // of the last segment, written and not
+	next    uint64 // number of the next record
+	durable uint64 // all below are on disk
+	pending []byte // whole records, from written on
+	labels  []tag  // of those
+	written uint64 // number of the first record in pending
+	since   time.Duration
+	urgent  bool
+	failed  time.Duration
+	lastErr error
+	Dropped uint64 // records for which there was no room while the disk failed
 }
 
 // Open reads what is there and makes it whole.
@@ -103,8 +104,12 @@
 	return err
 }
 
-// Append takes a record. Its number tells the order; it is on disk once Durable has passed that.
-func (s *Store) Append(now time.Duration, payload []byte) (seq uint64, err error) {
+// tag is a label of a record that is not written yet.
+type tag struct{ seq, label uint64 }
+
+// Append takes a record with its labels, the same that Options.Labels finds in it. Its number tells the order; it is
+// on disk once Durable has passed that.
+func (s *Store) Append(now time.Duration, payload []byte, labels ...uint64) (seq uint64, err error) {
 	if s.opt.ReadOnly {
 		return 0, errors.New("the log is open for reading")
 	}
@@ -121,6 +126,9 @@
 		s.since, s.written = now, s.next
 	}
 	s.pending = appendRecord(s.pending, s.next, payload)
+	for _, l := range labels {
+		s.labels = append(s.labels, tag{s.next, l})
+	}
 	s.next++
 	return s.next - 1, nil
 }
@@ -160,18 +168,18 @@
 // given up: the half-written end is cut off, and all is written again later.
 func (s *Store) Commit(now time.Duration) error {
 	s.mu.Lock()
-	batch, from, next := s.pending, s.written, s.next
-	s.pending, s.urgent = nil, false
+	batch, labels, from, next := s.pending, s.labels, s.written, s.next
+	s.pending, s.labels, s.urgent = nil, nil, false
 	wasFailed := s.failed > 0
 	s.mu.Unlock()
 	if len(batch) == 0 && !wasFailed {
 		return nil
 	}
-	err := s.write(batch, from, next)
+	err := s.write(batch, labels, from, next)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		s.pending = append(batch, s.pending...)
+		s.pending, s.labels = append(batch, s.pending...), append(labels, s.labels...)
 		s.written = from
 		s.failed, s.lastErr = max(now, 1), err
 		return fmt.Errorf("log store: %w", err)
@@ -185,7 +193,7 @@
 }
 
 // write puts a batch into the open segment, which is closed before where that is due.
-func (s *Store) write(batch []byte, from, next uint64) error {
+func (s *Store) write(batch []byte, labels []tag, from, next uint64) error {
 	if s.file != nil && s.opt.Policy.Rotate(s.last.bytes, s.opt.Wall().Sub(s.last.made)) {
 		if err := s.rotate(); err != nil {
 			return fmt.Errorf("close segment %x: %w", s.last.first, err)
@@ -210,11 +218,9 @@
 	}
 	s.mu.Lock()
 	s.last.bytes += int64(len(batch))
-	for at, seq := 0, from; seq < next; seq++ {
-		var payload []byte
-		payload, at, _ = nextRecord(batch, at, seq)
-		s.label(payload)
-		s.last.records++
+	s.last.records += uint32(next - from)
+	for _, t := range labels {
+		s.marks = append(s.marks, mark{t.label, uint32(t.seq - s.last.first)})
 	}
 	s.mu.Unlock()
 	return nil
@@ -389,3 +395,15 @@
 	}
 	return b, nil
 }
+
+// Abandon ends the store as a crash would: what waits is not written.
+func (s *Store) Abandon() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.file != nil {
+		_ = s.file.Close()
+	}
+	if s.unlock != nil {
+		_ = s.unlock.Close()
+	}
+}
--- a/internal/logstore/store_test.go
+++ b/internal/logstore/store_test.go
@@ -29,6 +29,13 @@
 	return b
 }
 
+// add appends a record with the labels that options().Labels finds.
+func add(s *Store, i int) error {
+	p := payload(i)
+	_, err := s.Append(time.Second, p, uint64(p[0]), 1000)
+	return err
+}
+
 func number(p []byte) int { return int(binary.LittleEndian.Uint64(p[1:])) }
 
 func open(t *testing.T, fs disk.FS) (*Store, Report) {
@@ -61,7 +68,7 @@
 func fill(t *testing.T, s *Store, from, n int) {
 	t.Helper()
 	for i := range n {
-		if _, err := s.Append(time.Second, payload(from+i)); err != nil {
+		if err := add(s, from+i); err != nil {
 			t.Fatal(err)
 		}
 		if i%5 == 4 || i == n-1 {
@@ -154,7 +161,7 @@
 			return nil
 		}
 		for range 60 {
-			if _, err := s.Append(time.Second, payload(next)); err == nil {
+			if err := add(s, next); err == nil {
 				next++
 			}
 			switch rng.IntN(4) {
@@ -187,7 +194,7 @@
 			return nil
 		}
 		for i := range 100 {
-			if _, err := s.Append(time.Second, payload(i)); err != nil {
+			if err := add(s, i); err != nil {
 				t.Fatal(err)
 			}
 			if i%4 == 3 {
@@ -228,7 +235,7 @@
 	}
 	n := 10
 	for ; ; n++ {
-		if _, err := s.Append(time.Second, payload(n)); errors.Is(err, ErrBehind) {
+		if err := add(s, n); errors.Is(err, ErrBehind) {
 			break
 		} else if err != nil {
 			t.Fatal(err)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -14,6 +15,7 @@
 
 	"whinrun/control"
 	"whinrun/internal/amqpfront"
+	"whinrun/internal/audit"
 	"whinrun/internal/config"
 	"whinrun/internal/door"
 	"whinrun/internal/engine"
@@ -39,6 +41,7 @@
 	fronts []*front.Front // push, then AMQP where it is on
 	amqp   *amqpfront.Desk
 	lists  *lists
+	keeper *audit.Keeper // nil where no trail is kept
 }
 
 // Start starts a dispatcher. source may be nil: then the list is that of the settings, or of the list file.
@@ -63,16 +66,24 @@
 		source = sourceOf(cfg)
 	}
 	s.lists = &lists{source: source, roster: s.roster, log: log, quit: make(chan struct{})}
-	core, err := engine.NewCore(engine.Policy{Settings: cfg.Module, OwnPath: own}, binary.LittleEndian.Uint64(seed[:]), s.pool, s.lists, s)
+	s.door = door.New(cfg.Door, len(cfg.Intake.Tenants), inner{s})
+	policy := engine.Policy{Settings: cfg.Module, OwnPath: own}
+	if cfg.Audit.Folder != "" {
+		if policy.Trail, err = s.keep(names); err != nil {
+			s.pool.Close()
+			return nil, err
+		}
+	}
+	core, err := engine.NewCore(policy, binary.LittleEndian.Uint64(seed[:]), s.pool, s.lists, s)
 	if err != nil {
 		s.pool.Close()
+		s.endTrail(true)
 		return nil, err
 	}
 	s.loop = engine.NewLoop(core, s.clock, cfg.Bounds)
 	s.lists.put = func(l engine.List) { s.loop.Put(engine.Input{List: &l}) }
 	s.lists.start(cfg.ListEvery)
 	go s.loop.Run()
-	s.door = door.New(cfg.Door, len(cfg.Intake.Tenants), s.loop)
 	if err := s.listen(names); err != nil {
 		s.Kill()
 		return nil, err
@@ -84,6 +95,44 @@
 	return s, nil
 }
 
+// inner is the engine as the door sees it; the door is there first, as the trail may have it shut.
+type inner struct{ s *Service }
+
+func (i inner) Submit(m *engine.Message) error { return i.s.loop.Submit(m) }
+func (i inner) Withdraw(id control.MessageID)  { i.s.loop.Withdraw(id) }
+
+// keep opens the trail. While its disk fails nothing new is taken; what is held is answered.
+func (s *Service) keep(names push.Names) (engine.Trail, error) {
+	now := func() time.Duration { return time.Duration(s.clock.Now()) * time.Microsecond }
+	bad := func(err error) {
+		if err != nil {
+			err = errors.New("the audit trail can't be written")
+		}
+		s.door.Shut(err)
+	}
+	var err error
+	s.keeper, err = audit.Open(s.cfg.Audit, now, func(f string, a ...any) { s.log.Warn("audit", f, a...) }, bad)
+	if err != nil {
+		return nil, err
+	}
+	s.keeper.Put(&audit.Record{Kind: audit.Begin, Why: "epoch " + names.Epoch})
+	return &trail{s.keeper, s.cfg, s.roster, names}, nil
+}
+
+// endTrail closes the trail, in order or as a crash would.
+func (s *Service) endTrail(orderly bool) {
+	switch {
+	case s.keeper == nil:
+	case !orderly:
+		s.keeper.Kill()
+	default:
+		if err := s.keeper.Close(); err != nil {
+			s.log.Error("audit", "%v", err)
+		}
+	}
+	s.keeper = nil
+}
+
 // listen opens the fronts. They are equals: each gets its side of the one door.
 func (s *Service) listen(names push.Names) error {
 	cfg, book := s.cfg, intake.NewBook(s.cfg.Intake)
@@ -144,7 +193,7 @@
 			f.Flush(ctx)
 		}
 	}
-	s.Kill()
+	s.end(true)
 	st := s.Stats()
 	s.log.Info("service", "stopped: %d taken, %d served, %d refused, %d failed, %d withdrawn, %d without an answer", st.Taken, st.Served,
 		st.Refused, st.Failed, st.Withdrawn, st.Open)
@@ -152,7 +201,9 @@
 }
 
 // Kill ends a dispatcher at once, as a crash would, but for the sockets that it closes.
-func (s *Service) Kill() {
+func (s *Service) Kill() { s.end(false) }
+
+func (s *Service) end(orderly bool) {
 	s.lists.stop()
 	ctx, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
@@ -163,6 +214,7 @@
 	all.Wait()
 	s.loop.Close()
 	s.pool.Close()
+	s.endTrail(orderly)
 }
 
 // speech speaks to each endpoint in the dialect of its partner's kind.
