Signed receipts by HTTP/2 and AMQP; background work planned by class, share and deadline

Need: senders that do not wait want proof later, and upkeep of the trail must not touch delivery. RFC 8030 receipts: Prefer: respond-async with Push-Receipt is answered 202 once a place for the receipt is kept; the final answer is read from the subscription, signed as a JWS. AMQP's queues of answers and receipt subscriptions are the same queues. whinrun receipt verify checks. internal/chores plans sealing, compression, retention, expiry and re-reading: by class, within a share of a core that shrinks with the engine's round time, past it only at a deadline.

--- a/cmd/whinrun/main.go
+++ b/cmd/whinrun/main.go
@@ -22,6 +22,7 @@
 	Serve     serveCmd     `cmd:"" help:"Run the dispatcher."`
 	Check     checkCmd     `cmd:"" help:"Say what is wrong with a settings file, a line each; exit 2 if anything is."`
 	Audit     auditCmd     `cmd:"" help:"Look into the trail of all messages, and check it."`
+	Receipt   receiptCmd   `cmd:"" help:"Check signed receipts."`
 	Demo      demoCmd      `cmd:"" help:"Show a dispatcher with stand-in partners and a short load, in one process on loopback."`
 	Reference referenceCmd `cmd:"" help:"Print the reference of all settings."`
 	Version   versionCmd   `cmd:"" help:"Print the version."`
--- a/internal/amqpfront/amqpfront.go
+++ b/internal/amqpfront/amqpfront.go
@@ -4,7 +4,6 @@
 package amqpfront
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,10 +16,7 @@
 )
 
 // Config is of all sessions.
-type Config struct {
-	AMQP    amqp.Config
-	Mailbox mailbox.Limits
-}
+type Config struct{ AMQP amqp.Config }
 
 // Desk is what the sessions of one front share.
 type Desk struct {
@@ -31,20 +27,19 @@
 	now   func() time.Duration
 	owner atomic.Uint64
 
-	mu  sync.Mutex // guards box and all that comes from it; nothing blocks under it
-	box *mailbox.Box
+	room *mailbox.Room
 }
 
 // New makes a Desk. now is the clock of the sessions.
-func New(cfg Config, book *intake.Book, names push.Names, side *door.Side, now func() time.Duration) *Desk {
-	return &Desk{cfg: cfg, book: book, names: names, side: side, now: now, box: mailbox.New(cfg.Mailbox)}
+func New(cfg Config, book *intake.Book, names push.Names, side *door.Side, room *mailbox.Room, now func() time.Duration) *Desk {
+	return &Desk{cfg: cfg, book: book, names: names, side: side, now: now, room: room}
 }
 
 // Usage is how many answer queues there are, and answers in them.
 func (d *Desk) Usage() (queues, answers int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.box.Usage()
+	d.room.Lock()
+	defer d.room.Unlock()
+	return d.room.Usage()
 }
 
 // Open makes the session of a connection.
@@ -69,7 +64,6 @@
 	publishes,
 	asked, // publishers have been asked to stop
 	away bool
-	expired time.Duration
 }
 
 // channel is one channel of a session.
@@ -95,12 +89,6 @@
 	if s.publishes {
 		s.block(now, s.away || s.desk.side.Blocked())
 	}
-	if now-s.expired > 10*time.Second {
-		s.expired = now
-		s.desk.mu.Lock()
-		s.desk.box.Expire(now)
-		s.desk.mu.Unlock()
-	}
 	return s.c.Check(now)
 }
 
@@ -160,9 +148,9 @@
 	for _, ch := range s.channels {
 		s.forget(ch)
 	}
-	s.desk.mu.Lock()
-	s.desk.box.Leave(s.owner)
-	s.desk.mu.Unlock()
+	s.desk.room.Lock()
+	s.desk.room.Leave(s.owner)
+	s.desk.room.Unlock()
 }
 
 // forget drops a channel that is gone.
@@ -178,9 +166,9 @@
 		ch.in = nil
 	}
 	if ch.mail != nil {
-		s.desk.mu.Lock()
+		s.desk.room.Lock()
 		ch.mail.Close(s.now)
-		s.desk.mu.Unlock()
+		s.desk.room.Unlock()
 	}
 }
 
--- a/internal/amqpfront/calls.go
+++ b/internal/amqpfront/calls.go
@@ -8,6 +8,7 @@
 	"whinrun/internal/amqp"
 	"whinrun/internal/intake"
 	"whinrun/internal/mailbox"
+	"whinrun/internal/receipt"
 )
 
 // call takes a method on an open channel. docs/amqp.md has the table of what is supported.
@@ -99,10 +100,10 @@
 	if len(m.Queue) >= 4 && m.Queue[:4] == "amq." && !m.Passive {
 		return &amqp.Error{Code: amqp.AccessRefused, Text: "names that begin with amq. are the server's"}
 	}
-	s.desk.mu.Lock()
-	name, ready, consumers, err := s.desk.box.Declare(s.now, s.tenant, mailbox.Spec{Name: m.Queue, Exclusive: m.Exclusive,
+	s.desk.room.Lock()
+	name, ready, consumers, err := s.desk.room.Declare(s.now, s.tenant, mailbox.Spec{Name: m.Queue, Exclusive: m.Exclusive,
 		AutoDelete: m.AutoDelete, Owner: s.owner}, m.Passive)
-	s.desk.mu.Unlock()
+	s.desk.room.Unlock()
 	if err == nil {
 		s.reply(ch, m.NoWait, &amqp.QueueDeclareOK{Queue: name, Messages: uint32(ready), Consumers: uint32(consumers)})
 	}
@@ -111,9 +112,9 @@
 
 // queue takes the methods that are about a queue.
 func (s *session) queue(ch *channel, m amqp.Method) *amqp.Error {
-	s.desk.mu.Lock()
-	defer s.desk.mu.Unlock()
-	box := s.desk.box
+	s.desk.room.Lock()
+	defer s.desk.room.Unlock()
+	box := s.desk.room
 	switch m := m.(type) {
 	case *amqp.QueueBind:
 		if m.Exchange == "" || s.desk.book.Exchange(m.Exchange) == nil {
@@ -148,10 +149,10 @@
 
 // mail runs do on the channel's part of the mailbox, under its lock.
 func (s *session) mail(ch *channel, do func(*mailbox.Channel) error) *amqp.Error {
-	s.desk.mu.Lock()
-	defer s.desk.mu.Unlock()
+	s.desk.room.Lock()
+	defer s.desk.room.Unlock()
 	if ch.mail == nil {
-		ch.mail = s.desk.box.Channel(s.tenant, s.owner, ch)
+		ch.mail = s.desk.room.Channel(s.tenant, s.owner, ch)
 	}
 	return problem(do(ch.mail))
 }
@@ -230,8 +231,8 @@
 			s.c.Send(ch.id, &amqp.BasicGetEmpty{})
 			return nil
 		}
-		r := d.Payload.(*receipt)
-		s.c.SendContent(ch.id, &amqp.BasicGetOK{Delivery: d.Tag, Redelivered: d.Again, Key: d.Queue, Messages: uint32(left)}, &r.props, r.body)
+		props, body := s.desk.message(d.Payload.(*receipt.Receipt))
+		s.c.SendContent(ch.id, &amqp.BasicGetOK{Delivery: d.Tag, Redelivered: d.Again, Key: d.Queue, Messages: uint32(left)}, props, body)
 		return nil
 	})
 }
@@ -251,7 +252,7 @@
 	if d.ch.gone { // closing it has put the answer back; its number may be another channel's by now
 		return
 	}
-	m := &d.ch.s.desk.mu
+	m := d.ch.s.desk.room
 	m.Lock()
 	reads := d.ch.mail.Reads(d.d.Consumer)
 	if !reads { // cancelled while this was on its way
@@ -261,9 +262,9 @@
 	if !reads {
 		return
 	}
-	r := d.d.Payload.(*receipt)
+	props, body := d.ch.s.desk.message(d.d.Payload.(*receipt.Receipt))
 	d.ch.s.c.SendContent(d.ch.id, &amqp.BasicDeliver{Tag: d.d.Consumer, Delivery: d.d.Tag, Redelivered: d.d.Again, Key: d.d.Queue},
-		&r.props, r.body)
+		props, body)
 }
 
 // Lost does nothing: closing the channel puts the answer back.
--- a/internal/amqpfront/publish.go
+++ b/internal/amqpfront/publish.go
@@ -1,7 +1,6 @@
 package amqpfront
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -13,16 +12,18 @@
 	"whinrun/internal/engine"
 	"whinrun/internal/intake"
 	"whinrun/internal/mailbox"
+	"whinrun/internal/receipt"
 )
 
 // Headers that a publisher may send, and those that we set on returned messages.
 const (
-	HeaderOrder  = "x-order-key"
-	HeaderAnswer = "x-answer"        // refused
-	HeaderReason = "x-reason"        // in words
-	HeaderWait   = "x-retry-after"   // milliseconds to stay away
-	HeaderName   = "whinrun-message" // our name of the message
-	HeaderTag    = "x-delivery-tag"  // of the publish, on channels that confirm
+	HeaderOrder   = "x-order-key"
+	HeaderAnswer  = "x-answer"        // refused
+	HeaderReason  = "x-reason"        // in words
+	HeaderWait    = "x-retry-after"   // milliseconds to stay away
+	HeaderName    = "whinrun-message" // our name of the message
+	HeaderReceipt = "x-receipt"       // of an answer: the signed receipt
+	HeaderTag     = "x-delivery-tag"  // of the publish, on channels that confirm
 )
 
 // publish is one message from its content header to its answer.
@@ -74,9 +75,9 @@
 	if err := s.properties(m, r, p.props); err != nil {
 		return &amqp.Error{Code: amqp.PreconditionFailed, Text: err.Error()}
 	}
-	s.desk.mu.Lock()
-	p.place, err = s.desk.box.Promise(s.tenant, p.props.ReplyTo, p.how.Exchange, p.how.Key)
-	s.desk.mu.Unlock()
+	s.desk.room.Lock()
+	p.place, err = s.desk.room.Promise(s.tenant, p.props.ReplyTo, p.how.Exchange, p.how.Key)
+	s.desk.room.Unlock()
 	if errors.Is(err, mailbox.ErrNotFound) {
 		return &refusal{amqp.NoRoute, fmt.Sprintf("reply-to %q names no queue of answers", intake.Printable(p.props.ReplyTo))}
 	} else if err != nil {
@@ -198,9 +199,9 @@
 		return
 	}
 	d := p.s.desk
-	d.mu.Lock()
+	d.room.Lock()
 	p.place.Drop(p.s.now)
-	d.mu.Unlock()
+	d.room.Unlock()
 	p.place = nil
 }
 
@@ -261,9 +262,9 @@
 	if p.place != nil {
 		d := p.s.desk
 		receipt := p.receipt()
-		d.mu.Lock()
+		d.room.Lock()
 		p.place.Fill(d.now(), receipt)
-		d.mu.Unlock()
+		d.room.Unlock()
 	}
 	if !p.s.conn.Post(p) {
 		p.Lost()
@@ -286,35 +287,23 @@
 	p.ticket.Answered(p.answer.Final, told || p.place != nil)
 }
 
-// receipt is a final answer as it stands in a queue.
-type receipt struct {
-	props amqp.Properties
-	body  []byte
+// receipt is the full final answer, for the queue of answers.
+func (p *publish) receipt() *receipt.Receipt {
+	r := receipt.New(p.s.desk.names.Of(p.msg.ID), &p.answer, time.Now())
+	r.MessageID, r.Correlation, r.Exchange, r.Key = p.props.MessageID, p.props.CorrelationID, p.how.Exchange, p.how.Key
+	return r
 }
 
-type receiptBody struct {
-	Message     string `json:"message"`
-	Answer      string `json:"answer"`
-	Detail      string `json:"detail,omitempty"`
-	Attempts    int    `json:"attempts"`
-	Partner     int    `json:"partner-status,omitempty"`
-	RetryAfter  int64  `json:"retry-after-ms,omitempty"`
-	OutOfTime   bool   `json:"out-of-time,omitempty"`
-	MessageID   string `json:"message-id,omitempty"`
-	Correlation string `json:"correlation-id,omitempty"`
-	Exchange    string `json:"exchange"`
-	Key         string `json:"routing-key"`
-}
-
-// receipt makes the answer's message. Its correlation-id is the publisher's or, without one, the message-id.
-func (p *publish) receipt() *receipt {
-	a, name := &p.answer, p.s.desk.names.Of(p.msg.ID)
-	body, _ := json.Marshal(receiptBody{name, a.Final.String(), a.Why, a.Tries, a.Status, int64(a.Wait / 1000), a.Late,
-		p.props.MessageID, p.props.CorrelationID, p.how.Exchange, p.how.Key})
-	corr := p.props.CorrelationID
-	if corr == "" {
-		corr = p.props.MessageID
+// message makes a receipt a message: its correlation-id is the publisher's or, without one, the message-id. With a key
+// the signed form goes along.
+func (d *Desk) message(r *receipt.Receipt) (*amqp.Properties, []byte) {
+	p := &amqp.Properties{ContentType: "application/json", MessageID: r.Message, CorrelationID: r.Correlation, Type: r.Answer,
+		DeliveryMode: 1, Timestamp: uint64(r.At.Unix())}
+	if p.CorrelationID == "" {
+		p.CorrelationID = r.MessageID
+	}
+	if d.room.Key != nil {
+		p.Headers = amqp.Table{{Name: HeaderReceipt, Value: r.Sign(d.room.Key)}}
 	}
-	return &receipt{amqp.Properties{ContentType: "application/json", MessageID: name, CorrelationID: corr, Type: a.Final.String(),
-		DeliveryMode: 1, Timestamp: uint64(time.Now().Unix())}, body}
+	return p, r.JSON()
 }
--- a/internal/audit/keeper.go
+++ b/internal/audit/keeper.go
@@ -18,9 +18,6 @@
 	SealEvery time.Duration // a seal this soon after a record
 }
 
-// tendEvery is how often upkeep is looked for.
-const tendEvery = 200 * time.Millisecond
-
 // Keeper owns the trail of a running dispatcher: it writes, syncs and seals on a goroutine of its own, so that no
 // answer waits for the disk.
 type Keeper struct {
@@ -88,10 +85,7 @@
 		k.lose()
 	}
 	if first {
-		select {
-		case k.wake <- struct{}{}:
-		default:
-		}
+		k.nudge()
 	}
 }
 
@@ -124,6 +118,9 @@
 	k.store.Abandon()
 }
 
+// Key signs the trail, and receipts with it.
+func (k *Keeper) Key() *Key { return k.key }
+
 // Now is the dispatcher's clock.
 func (k *Keeper) Now() time.Duration { return k.now() }
 
@@ -133,7 +130,6 @@
 func (k *Keeper) run() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var sealAt, tendAt time.Duration
 	failing := false
 	for {
 		now := k.now()
@@ -141,27 +137,11 @@
 		if at, ok := k.store.Due(); ok && at <= now {
 			failing = k.commit(now, failing)
 		}
-		if !failing && now >= sealAt {
-			sealAt = now + k.cfg.SealEvery
-			if err := k.Seal(now); err != nil {
-				k.log("the trail can't be sealed: %v", err)
-			}
-		}
-		if !failing && now >= tendAt {
-			tendAt = now + tendEvery
-			if _, err := k.store.Tend(); err != nil {
-				k.log("upkeep of the trail: %v", err)
-			}
-		}
-		next := min(sealAt, tendAt)
+		wait := time.Hour
 		if at, ok := k.store.Due(); ok {
-			next = min(next, at)
-		}
-		if failing {
-			at, _ := k.store.Due()
-			next = at
+			wait = max(at-k.now(), time.Millisecond)
 		}
-		timer.Reset(max(next-k.now(), time.Millisecond))
+		timer.Reset(wait)
 		select {
 		case <-timer.C:
 		case <-k.wake:
@@ -171,6 +151,35 @@
 	}
 }
 
+// SealNow seals what was written since the last seal, while the disk works.
+func (k *Keeper) SealNow() error {
+	if k.store.Failing() != nil {
+		return nil
+	}
+	err := k.Seal(k.now())
+	k.nudge()
+	return err
+}
+
+// Tend does one piece of the store's upkeep, while the disk works.
+func (k *Keeper) Tend() (more bool, err error) {
+	if k.store.Failing() != nil {
+		return false, nil
+	}
+	return k.store.Tend()
+}
+
+// VerifyNext reads one closed file of the trail again, in turns: a disk that loses bits shows before they are asked for.
+func (k *Keeper) VerifyNext() (more bool, err error) { return false, k.store.VerifyNext() }
+
+// nudge has the Keeper look at once.
+func (k *Keeper) nudge() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 // commit writes what waits, and tells of a disk that begins or ceases to fail.
 func (k *Keeper) commit(now time.Duration, was bool) (failing bool) {
 	err := k.store.Commit(now)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,9 +35,11 @@
 	Outbound outbound.Config
 	Bounds   engine.Bounds
 	Audit    audit.Config
+	Mailbox  mailbox.Limits
 	Door     door.Limits
 
-	Garbage    int // percent, as of debug.SetGCPercent
+	Background float64 // share of a core
+	Garbage    int     // percent, as of debug.SetGCPercent
 	LogLevel   string
 	LogLines   float64
 	StopWithin time.Duration
@@ -97,7 +99,7 @@
 	c := &Config{}
 	d, l, o := r.single("dispatcher"), r.single("limits"), r.single("outbound")
 	c.LogLevel, c.LogLines, c.StopWithin = d.raw["log"], d.num["log-lines"], d.span("stop-within")
-	c.Garbage = d.int("garbage")
+	c.Garbage, c.Background = d.int("garbage"), d.num["background"]
 	c.Intake.MaxBody = l.int("body")
 	streamWindow := uint32(min(max(64<<10, c.Intake.MaxBody), 1<<20))
 	bounds := h2.Config{MaxStreams: uint32(l.int("streams")), MaxHeaderList: l.int("headers"), StreamWindow: streamWindow,
@@ -127,7 +129,9 @@
 	c.AMQPDesk = amqpfront.Config{
 		AMQP: amqp.Config{Product: "whinrun", ChannelMax: uint16(a.int("channels")), FrameMax: a.int("frame"), Heartbeat: a.span("heartbeat"),
 			Handshake: l.span("handshake"), Stall: l.span("stall"), AbuseBurst: l.num["abuse-burst"], AbuseRate: l.num["abuse-rate"]},
-		Mailbox: mailbox.Limits{Queues: a.int("queues"), Length: a.int("queue-length"), Idle: a.span("queue-idle")}}
+	}
+	q := r.single("answers")
+	c.Mailbox = mailbox.Limits{Queues: q.int("queues"), Length: q.int("queue-length"), Idle: q.span("queue-idle"), Keep: q.span("keep")}
 	if h := c.AMQPDesk.AMQP.Heartbeat; h%time.Second != 0 {
 		r.bad(a.at["heartbeat"], "heartbeat", "is not in whole seconds")
 	}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -58,6 +58,7 @@
 		{"log", choice, "info", false, 0, 0, "debug info warn error", "least level of lines logged"},
 		{"log-lines", rate, "20/s", false, 1, 1e5, "", "lines logged at most; those left out are counted"},
 		{"garbage", count, "400", false, 20, 10000, "", "percent of the live memory that garbage may come to before it is collected: more is faster and larger. GOGC in the environment goes before it"},
+		{"background", figure, "0.2", false, 0.01, 16, "", "share of one core for sealing, compression, retention and checks; less where the engine is under pressure"},
 		{"stop-within", span, "10s", false, 0.1, 600, "", "on SIGTERM, what was taken has its answer within this"},
 	}},
 	{"limits", false, "What is held at most, and so how much memory is used. Each limit has its answer: see operating.md.", []keySpec{
@@ -81,14 +82,17 @@
 		{"stall", span, "10s", false, 0.01, 600, "", "a header section in parts, or a window held shut, may last so long"},
 		{"client-idle", span, "5m", false, 1, maxSpan, "", "a client connection without requests gets GOAWAY after this"},
 	}},
+	{"answers", false, "Queues in which final answers wait: receipt subscriptions, and AMQP's queues of answers.", []keySpec{
+		{"queues", count, "64", false, 1, 1e6, "", "queues of answers that a tenant may have"},
+		{"queue-length", count, "10000", false, 1, 1e7, "", "answers in a queue, those promised to messages under way with them; above it messages that name the queue are returned"},
+		{"keep", span, "24h", false, 1, maxSpan, "", "an answer that nobody reads is dropped after this"},
+		{"queue-idle", span, "30m", false, 0, maxSpan, "", "a queue without reader and answers is removed after this; 0 is never. Exclusive ones go with their connection"},
+	}},
 	{"amqp", false, "AMQP 0-9-1 towards clients; see amqp.md. Without an address it is off.", []keySpec{
 		{"listen", address, "", false, 0, 0, "", "where clients connect, in clear text; 127.0.0.1:5672 is the usual port"},
 		{"heartbeat", span, "60s", false, 0, 3600, "", "heartbeat proposed, in whole seconds; a client may set another, or 0 for none"},
 		{"frame", size, "128KiB", false, 4096, 16 << 20, "", "frame-max: largest frame"},
 		{"channels", count, "2047", false, 1, 65535, "", "channel-max: channels on one connection"},
-		{"queues", count, "64", false, 1, 1e6, "", "queues of answers that a tenant may have"},
-		{"queue-length", count, "10000", false, 1, 1e7, "", "answers in a queue, those promised to messages under way with them; above it messages that name the queue are returned"},
-		{"queue-idle", span, "30m", false, 0, maxSpan, "", "a queue without reader and answers is removed after this; 0 is never. Exclusive ones go with their connection"},
 	}},
 	{"outbound", false, "Connections to partners.", []keySpec{
 		{"connections", count, "8", false, 1, 1e5, "", "connections to one endpoint"},
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -52,6 +52,7 @@
 	quit  chan struct{}
 	done  chan struct{}
 	stats atomic.Pointer[Stats]
+	round atomic.Int64 // nanoseconds, decaying mean
 }
 
 // NewLoop makes a Loop; Run starts it.
@@ -125,7 +126,10 @@
 		l.submits = 0
 		l.mu.Unlock()
 		before := l.core.stats.ended()
+		start := time.Now()
 		l.core.Round(l.clock.Now(), batch)
+		old := l.round.Load()
+		l.round.Store(old + (int64(time.Since(start))-old)/16)
 		clear(batch)
 		s := l.core.Stats()
 		l.stats.Store(&s)
@@ -151,6 +155,9 @@
 // Stats returns the counts after the last round.
 func (l *Loop) Stats() Stats { return *l.stats.Load() }
 
+// RoundTime is how long rounds take, as a decaying mean over some sixteen of them.
+func (l *Loop) RoundTime() time.Duration { return time.Duration(l.round.Load()) }
+
 // Stop takes no more messages; those taken have their answers within the time given. The channel is closed when
 // none is owed one any more.
 func (l *Loop) Stop(within time.Duration) <-chan struct{} {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -176,6 +176,12 @@
 	return tenant, b.Check(tenant, secret) == Welcome
 }
 
+// Tenant returns the number of a tenant's name.
+func (b *Book) Tenant(name string) (tenant int, ok bool) {
+	tenant, ok = b.tenants[name]
+	return tenant, ok
+}
+
 // Open tells whether anybody may hand in messages of a tenant.
 func (b *Book) Open(tenant int) bool { return b.open[tenant] }
 
--- a/internal/logstore/read.go
+++ b/internal/logstore/read.go
@@ -213,6 +213,23 @@
 	return nil
 }
 
+// VerifyNext reads one closed segment whole, the next in turn, and returns what is wrong with it.
+func (s *Store) VerifyNext() error {
+	s.mu.Lock()
+	if len(s.closed) == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	s.verified = (s.verified + 1) % len(s.closed)
+	g := s.closed[s.verified]
+	s.mu.Unlock()
+	err := s.each(g, func(uint64, []byte) error { return nil })
+	if disk.NotExist(err) { // compressed or dropped meanwhile
+		return nil
+	}
+	return err
+}
+
 // Find calls fn with the records on disk that carry a label, in order.
 func (s *Store) Find(label uint64, fn func(seq uint64, payload []byte) error, bad func(error)) error {
 	for _, g := range s.segments() {
--- a/internal/logstore/store.go
+++ b/internal/logstore/store.go
@@ -47,27 +47,28 @@
 	packed  bool
 }
 
-// Store is the log. Append may be called from any goroutine; Commit and Tend from one.
+// Store is the log. Append may be called from any goroutine, Commit from one, Tend and VerifyNext from one.
 type Store struct {
 	fs     disk.FS
 	opt    Options
 	unlock io.Closer
 
-	mu      sync.Mutex
-	closed  []segment
-	last    segment
-	file    disk.File
-	marks   []mark // of the last segment, written and not
-	next    uint64 // number of the next record
-	durable uint64 // all below are on disk
-	pending []byte // whole records, from written on
-	labels  []tag  // of those
-	written uint64 // number of the first record in pending
-	since   time.Duration
-	urgent  bool
-	failed  time.Duration
-	lastErr error
-	Dropped uint64 // records for which there was no room while the disk failed
+	mu       sync.Mutex
+	closed   []segment
+	last     segment
+	file     disk.File
+	marks    []mark // of the last segment, written and not
+	next     uint64 // number of the next record
+	durable  uint64 // all below are on disk
+	verified int    // of closed: read again last
+	pending  []byte // whole records, from written on
+	labels   []tag  // of those
+	written  uint64 // number of the first record in pending
+	since    time.Duration
+	urgent   bool
+	failed   time.Duration
+	lastErr  error
+	Dropped  uint64 // records for which there was no room while the disk failed
 }
 
 // Open reads what is there and makes it whole.
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -9,7 +9,10 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
+
+	"whinrun/internal/receipt"
 )
 
 // Errors of a Box.
@@ -29,6 +32,7 @@
 type Limits struct {
 	Queues int           // of a tenant
 	Length int           // answers in a queue: waiting, with readers, and promised
+	Keep   time.Duration // an answer that nobody reads is dropped after this, 0 for never
 	Idle   time.Duration // a queue that is not exclusive goes after this without reader, answer or promise
 }
 
@@ -80,6 +84,7 @@
 
 type item struct {
 	seq     uint64
+	at      time.Duration
 	payload any
 	again   bool // delivered before
 }
@@ -255,7 +260,7 @@
 		return
 	}
 	p.b.seq++
-	p.q.ready = append(p.q.ready, item{seq: p.b.seq, payload: payload})
+	p.q.ready = append(p.q.ready, item{seq: p.b.seq, at: now, payload: payload})
 	p.b.pump(p.q)
 }
 
@@ -291,13 +296,57 @@
 	q.ready = slices.Insert(q.ready, i, it)
 }
 
-// Expire removes queues that nobody has used for long.
-func (b *Box) Expire(now time.Duration) {
-	if b.limits.Idle <= 0 {
-		return
+// Waiting is an answer as a reader without a channel sees it: it stays until it is taken out by its number.
+type Waiting struct {
+	No      uint64
+	Payload any
+}
+
+// Peek returns the first answers that wait in a queue.
+func (b *Box) Peek(now time.Duration, tenant int, name string, most int) ([]Waiting, error) {
+	q, err := b.find(tenant, name, 0)
+	if err != nil {
+		return nil, err
+	}
+	q.used = now
+	var all []Waiting
+	for _, it := range q.ready[:min(most, len(q.ready))] {
+		all = append(all, Waiting{it.seq, it.payload})
+	}
+	return all, nil
+}
+
+// Take takes an answer out of a queue.
+func (b *Box) Take(now time.Duration, tenant int, name string, no uint64) error {
+	q, err := b.find(tenant, name, 0)
+	if err != nil {
+		return err
+	}
+	q.used = now
+	i, ok := slices.BinarySearchFunc(q.ready, no, func(x item, no uint64) int { return cmp.Compare(x.seq, no) })
+	if !ok {
+		return ErrNoTag
 	}
+	q.ready = slices.Delete(q.ready, i, i+1)
+	return nil
+}
+
+// Room is a Box that several fronts share. Nothing blocks under its lock.
+type Room struct {
+	sync.Mutex
+	*Box
+	Key receipt.Signer // signs what is handed out; nil: nothing is signed
+}
+
+// Expire drops answers that nobody has read, and removes queues that nobody has used, for long.
+func (b *Box) Expire(now time.Duration) {
 	for _, q := range b.queues {
-		if !q.spec.Exclusive && len(q.consumers)+len(q.ready)+q.out+q.promised == 0 && now-q.used > b.limits.Idle {
+		for b.limits.Keep > 0 && len(q.ready) > 0 && now-q.ready[0].at > b.limits.Keep {
+			q.ready[0] = item{}
+			q.ready = q.ready[1:]
+			b.Lost++
+		}
+		if b.limits.Idle > 0 && !q.spec.Exclusive && len(q.consumers)+len(q.ready)+q.out+q.promised == 0 && now-q.used > b.limits.Idle {
 			b.remove(q)
 		}
 	}
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/mailbox/mailbox_test.go
@@ -217,6 +217,27 @@
 	}
 }
 
+// Answers that nobody reads are dropped once they are old, and no others.
+func TestOldAnswersGo(t *testing.T) {
+	b := New(Limits{Queues: 4, Length: 6, Keep: time.Minute})
+	_, _, _, _ = b.Declare(0, 0, Spec{Name: "q"}, false)
+	for i := range 3 {
+		p, _ := b.Promise(0, "q", "", "")
+		p.Fill(time.Duration(i)*30*time.Second, i)
+	}
+	b.Expire(80 * time.Second)
+	all, err := b.Peek(0, 0, "q", 10)
+	if err != nil || len(all) != 2 || all[0].Payload != 1 || b.Lost != 1 {
+		t.Errorf("%v %v, %d lost", all, err, b.Lost)
+	}
+	if err := b.Take(0, 0, "q", all[1].No); err != nil {
+		t.Error(err)
+	}
+	if err := b.Take(0, 0, "q", all[1].No); !errors.Is(err, ErrNoTag) {
+		t.Error("taken twice:", err)
+	}
+}
+
 // Whatever readers do, no answer is lost, none is acknowledged twice, and no bound is passed.
 func TestNothingLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/push/inbound.go
+++ b/internal/push/inbound.go
@@ -45,7 +45,7 @@
 		p.Extra = []h2.Field{{Name: "allow", Value: "POST"}}
 		return nil, p
 	}
-	if p := d.allowed(r, h2.Value(fields, "authorization")); p != nil {
+	if p := d.Allowed(r.Tenant, h2.Value(fields, "authorization")); p != nil {
 		return nil, p
 	}
 	if n := h2.Value(fields, "content-length"); n != "" {
@@ -70,20 +70,23 @@
 // MaxBody is the largest body taken.
 func (d *Desk) MaxBody() int { return d.book.MaxBody() }
 
-// allowed looks at the bearer token (RFC 6750): 401 for none or an unknown one, 403 for another's.
-func (d *Desk) allowed(r *intake.Resource, authorization string) *Problem {
-	if d.book.Open(r.Tenant) {
+// Book is what the Desk goes by.
+func (d *Desk) Book() *intake.Book { return d.book }
+
+// Allowed looks at the bearer token (RFC 6750): 401 for none or an unknown one, 403 for another tenant's.
+func (d *Desk) Allowed(tenant int, authorization string) *Problem {
+	if d.book.Open(tenant) {
 		return nil
 	}
 	scheme, secret, _ := strings.Cut(authorization, " ")
-	standing := d.book.Check(r.Tenant, strings.TrimSpace(secret))
+	standing := d.book.Check(tenant, strings.TrimSpace(secret))
 	switch {
 	case !strings.EqualFold(scheme, "Bearer") || standing == intake.Unknown:
 		p := problem(401, "a bearer token of the tenant is needed")
 		p.Extra = []h2.Field{{Name: "www-authenticate", Value: `Bearer realm="push"`}}
 		return p
 	case standing == intake.Another:
-		return problem(403, "this push resource is another tenant's")
+		return problem(403, "that is another tenant's")
 	}
 	return nil
 }
--- a/internal/pushfront/pushfront.go
+++ b/internal/pushfront/pushfront.go
@@ -10,6 +10,7 @@
 	"whinrun/internal/engine"
 	"whinrun/internal/front"
 	"whinrun/internal/h2"
+	"whinrun/internal/mailbox"
 	"whinrun/internal/push"
 )
 
@@ -20,9 +21,9 @@
 }
 
 // Opener makes sessions.
-func Opener(cfg Config, desk *push.Desk, names push.Names, side *door.Side) func(*front.Conn, time.Duration) front.Session {
+func Opener(cfg Config, desk *push.Desk, names push.Names, side *door.Side, room *mailbox.Room, clock func() time.Duration) func(*front.Conn, time.Duration) front.Session {
 	return func(c *front.Conn, now time.Duration) front.Session {
-		return &session{cfg: &cfg, desk: desk, names: names, side: side, conn: c, h: h2.NewServer(cfg.H2, now), requests: map[uint32]*request{},
+		return &session{cfg: &cfg, desk: desk, names: names, side: side, room: room, now: clock, conn: c, h: h2.NewServer(cfg.H2, now), requests: map[uint32]*request{},
 			idleFrom: now}
 	}
 }
@@ -33,6 +34,8 @@
 	desk     *push.Desk
 	names    push.Names
 	side     *door.Side
+	room     *mailbox.Room
+	now      func() time.Duration
 	conn     *front.Conn
 	h        *h2.Conn
 	requests map[uint32]*request
@@ -47,6 +50,10 @@
 	ticket door.Ticket
 	whole  bool
 	answer engine.Answer
+
+	place    *mailbox.Place // of the receipt, where one is wanted
+	receipts string         // the subscription it goes to
+	path     string
 }
 
 // Receive takes bytes of the client.
@@ -98,11 +105,17 @@
 // Lost withdraws what the client waited for.
 func (s *session) Lost() {
 	for _, r := range s.requests {
-		r.ticket.Withdraw()
+		r.withdraw()
 	}
 	s.requests = nil
 }
 
+// withdraw ends a request that nobody waits for.
+func (r *request) withdraw() {
+	r.ticket.Withdraw()
+	r.unpromise(r.s.now())
+}
+
 func (s *session) event(e *h2.Event, now time.Duration) {
 	switch e.Kind {
 	case h2.Headers:
@@ -121,13 +134,20 @@
 	case h2.StreamReset:
 		if r := s.requests[e.Stream]; r != nil {
 			delete(s.requests, e.Stream)
-			r.ticket.Withdraw()
+			r.withdraw()
 		}
 	}
 }
 
 func (s *session) begin(e *h2.Event, now time.Duration) {
+	if s.receiptCall(e, now) {
+		return
+	}
 	m, p := s.desk.Read(e.Fields)
+	uri := ""
+	if p == nil {
+		uri, p = wanted(e.Fields)
+	}
 	if p != nil {
 		s.side.Rejected.Add(1)
 		s.reply(e.Stream, p, now)
@@ -135,6 +155,13 @@
 	}
 	r := &request{s: s, stream: e.Stream, msg: m, ticket: s.side.Ticket(m.Tenant)}
 	m.Origin = r
+	if uri != "" {
+		r.path = h2.Value(e.Fields, ":path")
+		if p := s.promise(r, uri); p != nil {
+			s.refuse(r, p, now)
+			return
+		}
+	}
 	s.requests[e.Stream] = r
 	if h2.Value(e.Fields, "expect") == "100-continue" && !e.End {
 		_ = s.h.Respond(now, e.Stream, []h2.Field{{Name: ":status", Value: "100"}}, nil)
@@ -170,6 +197,8 @@
 	r.whole = true
 	if err := r.ticket.Submit(r.msg); err != nil {
 		s.refuse(r, notTaken(err), now)
+	} else if r.place != nil {
+		s.accepted(r, now)
 	}
 }
 
@@ -186,6 +215,7 @@
 func (s *session) refuse(r *request, p *push.Problem, now time.Duration) {
 	delete(s.requests, r.stream)
 	r.ticket.Turn()
+	r.unpromise(now)
 	s.reply(r.stream, p, now)
 }
 
@@ -197,6 +227,13 @@
 // Final is engine.Origin: it runs on the engine's goroutine and posts the answer to the connection.
 func (r *request) Final(_ *engine.Message, a engine.Answer) {
 	r.answer = a
+	if r.place != nil {
+		r.fill(&a)
+		if !r.s.conn.Post(r) {
+			r.Lost()
+		}
+		return
+	}
 	r.s.conn.Post(r) // where the connection is gone its session has withdrawn the message
 }
 
@@ -206,11 +243,20 @@
 		r.s.side.Unheard.Add(1)
 		return
 	}
-	delete(r.s.requests, r.stream)
 	r.ticket.Answered(r.answer.Final, true)
+	if r.place != nil {
+		return
+	}
+	delete(r.s.requests, r.stream)
 	reply := push.Response(r.s.names, r.msg, r.answer)
 	_ = r.s.h.Respond(now, r.stream, reply.Fields, reply.Body)
 }
 
-// Lost counts an answer that comes too late.
-func (r *request) Lost() { r.s.side.Unheard.Add(1) }
+// Lost counts an answer that comes too late; a receipt is in its place already.
+func (r *request) Lost() {
+	if r.place != nil {
+		r.ticket.Answered(r.answer.Final, true)
+		return
+	}
+	r.s.side.Unheard.Add(1)
+}
--- a/internal/service/amqp_test.go
+++ b/internal/service/amqp_test.go
@@ -378,7 +378,7 @@
 // and none of its answers is lost.
 func TestAMQPReaderBehind(t *testing.T) {
 	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(201) })
-	s := start(t, addr, strings.Replace(withAMQP, "[exchange", "queue-length = 5\n[exchange", 1))
+	s := start(t, addr, withAMQP+"[answers]\nqueue-length = 5\n")
 	defer s.Kill()
 	_, ch := dial(t, s)
 	returns := ch.NotifyReturn(make(chan amqp.Return, 10))
--- /dev/null
+++ b/internal/service/receipt_test.go
@@ -0,0 +1,150 @@
+package service
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	amqp "github.com/rabbitmq/amqp091-go"
+
+	"whinrun/internal/audit"
+	"whinrun/internal/receipt"
+)
+
+// ask sends one request over HTTP/2.
+func ask(t *testing.T, s *Service, method, path, body string, fields ...string) (*http.Response, []byte) {
+	t.Helper()
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	tr := &http.Transport{Protocols: &p}
+	defer tr.CloseIdleConnections() // the connection goes: what was handed in asynchronously must not
+	req, err := http.NewRequestWithContext(within(t), method, "http://"+s.Addr().String()+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i < len(fields); i += 2 {
+		if fields[i] == "Authorization" {
+			req.Header.Del(fields[i])
+		}
+		req.Header.Add(fields[i], fields[i+1])
+	}
+	res, err := (&http.Client{Transport: tr}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, _ := io.ReadAll(res.Body)
+	_ = res.Body.Close()
+	return res, b
+}
+
+// RFC 8030 section 5.1: 202 once taken, the final answer as a signed receipt in the subscription, until it is taken out.
+func TestReceipts(t *testing.T) {
+	go_ := make(chan struct{})
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		<-go_
+		if strings.HasPrefix(string(b), "no") {
+			w.WriteHeader(500)
+			return
+		}
+		w.WriteHeader(201)
+	})
+	folder := t.TempDir()
+	s := start(t, addr, withAMQP+"[audit]\nfolder = "+folder+"\n[tenant other]\ntoken = others\n[answers]\nqueue-length = 3\n")
+	defer s.Kill()
+	res, _ := ask(t, s, "POST", "/receipts/t", "")
+	sub := res.Header.Get("Location")
+	if res.StatusCode != 201 || !strings.HasPrefix(sub, "/receipts/t/") {
+		t.Fatal(res.Status, sub)
+	}
+	post := func(body, to string, more ...string) *http.Response {
+		res, _ := ask(t, s, "POST", "/p/upload", body, append([]string{"TTL", "4", "Push-Receipt", to}, more...)...)
+		return res
+	}
+	async := []string{"Prefer", "wait=5, respond-async"}
+	names := map[string]string{}
+	for body, want := range map[string]string{"yes": "served", "no": "failed"} {
+		res := post(body, sub, append(async, "Idempotency-Key", `"k-`+body+`"`)...)
+		if res.StatusCode != 202 || !strings.Contains(res.Header.Get("Link"), sub) {
+			t.Fatal(res.Status, res.Header)
+		}
+		names[res.Header.Get("Whinrun-Message")] = want
+	}
+	if res, _ := ask(t, s, "GET", sub, ""); res.StatusCode != 204 {
+		t.Error("a receipt before the answer:", res.Status)
+	}
+	for want, res := range map[int]*http.Response{400: post("x", sub), 404: post("x", "/receipts/t/none", async...)} {
+		if res.StatusCode != want {
+			t.Errorf("%s, want %d", res.Status, want)
+		}
+	}
+	if res := post("x", sub, "Prefer", "respond-async", "Push-Receipt", sub); res.StatusCode != 400 {
+		t.Error("two receipts for one message:", res.Status)
+	}
+	if res := post("x", sub, async...); res.StatusCode != 202 {
+		t.Error(res.Status)
+	}
+	if res := post("x", sub, async...); res.StatusCode != 503 {
+		t.Error("a fourth place of three:", res.Status)
+	}
+	if res, _ := ask(t, s, "GET", sub, "", "Authorization", "Bearer others"); res.StatusCode != 403 {
+		t.Error("another tenant's receipts are shown")
+	}
+	close(go_)
+	keys, err := audit.PublicKeys(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []struct {
+		No      uint64
+		Receipt receipt.Receipt
+		Signed  string
+	}
+	for len(got) < 3 {
+		if _, b := ask(t, s, "GET", sub, ""); len(b) > 0 {
+			if err := json.Unmarshal(b, &got); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for _, g := range got {
+		signed, err := receipt.Verify(g.Signed, keys)
+		if err != nil || *signed != g.Receipt {
+			t.Errorf("%+v, %+v, %v", signed, g.Receipt, err)
+		}
+		if want, ok := names[g.Receipt.Message]; ok && (g.Receipt.Answer != want || !strings.HasPrefix(g.Receipt.MessageID, "k-")) {
+			t.Errorf("%+v, want %s", g.Receipt, want)
+		}
+		if res, _ := ask(t, s, "DELETE", sub+"/"+jsonNumber(g.No), ""); res.StatusCode != 204 {
+			t.Error(res.Status)
+		}
+	}
+	if res, _ := ask(t, s, "GET", sub, ""); res.StatusCode != 204 {
+		t.Error("taken out, and still there:", res.Status)
+	}
+	_, ch := dial(t, s)
+	q, err := ch.QueueDeclare("", false, false, true, false, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers, err := ch.Consume(q.Name, "", true, false, false, false, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ch.PublishWithContext(within(t), "uploads", "p", false, false, amqp.Publishing{Body: []byte("yes"), ReplyTo: q.Name}); err != nil {
+		t.Fatal(err)
+	}
+	a := <-answers
+	signed, _ := a.Headers["x-receipt"].(string)
+	if r, err := receipt.Verify(signed, keys); err != nil || r.Answer != "served" || r.Message != a.MessageId {
+		t.Errorf("by AMQP: %+v, %v", r, err)
+	}
+}
+
+func jsonNumber(n uint64) string { b, _ := json.Marshal(n); return string(b) }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -23,6 +23,7 @@
 	"whinrun/internal/h2"
 	"whinrun/internal/intake"
 	"whinrun/internal/logs"
+	"whinrun/internal/mailbox"
 	"whinrun/internal/outbound"
 	"whinrun/internal/push"
 	"whinrun/internal/pushfront"
@@ -42,6 +43,8 @@
 	amqp   *amqpfront.Desk
 	lists  *lists
 	keeper *audit.Keeper // nil where no trail is kept
+
+	background *background
 }
 
 // Start starts a dispatcher. source may be nil: then the list is that of the settings, or of the list file.
@@ -143,12 +146,18 @@
 		}
 		return err
 	}
+	now := func() time.Duration { return time.Duration(s.clock.Now()) * time.Microsecond }
+	room := &mailbox.Room{Box: mailbox.New(cfg.Mailbox)}
+	if s.keeper != nil {
+		room.Key = s.keeper.Key()
+	}
+	s.startChores(room)
 	side := s.door.Side("push")
-	if err := add("push", cfg.Front, side, pushfront.Opener(cfg.Push, push.NewDesk(book), names, side)); err != nil || cfg.AMQP.Address == "" {
+	if err := add("push", cfg.Front, side, pushfront.Opener(cfg.Push, push.NewDesk(book), names, side, room, now)); err != nil || cfg.AMQP.Address == "" {
 		return err
 	}
 	side = s.door.Side("amqp")
-	s.amqp = amqpfront.New(cfg.AMQPDesk, book, names, side, func() time.Duration { return time.Duration(s.clock.Now()) * time.Microsecond })
+	s.amqp = amqpfront.New(cfg.AMQPDesk, book, names, side, room, now)
 	return add("amqp", cfg.AMQP, side, s.amqp.Open)
 }
 
@@ -212,6 +221,7 @@
 		all.Go(func() { _ = f.Close(ctx) })
 	}
 	all.Wait()
+	s.background.stop()
 	s.loop.Close()
 	s.pool.Close()
 	s.endTrail(orderly)
