--- a/internal/disk/memory.go
+++ b/internal/disk/memory.go
@@ -29,6 +29,13 @@
 // NewMemory makes an empty folder.
 func NewMemory() *Memory { return &Memory{now: map[string]*node{}, safe: map[string]*node{}} }
 
+// SetFail sets Fail while the folder is in use.
+func (m *Memory) SetFail(fail func(op, name string) error) {
+	m.mu.Lock()
+	m.Fail = fail
+	m.mu.Unlock()
+}
+
 func (m *Memory) check(op, name string) error {
 	m.Ops++
 	if m.Fail == nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -187,8 +187,14 @@
 	return len(c.inbox) > 0 || c.owes.Load()
 }
 
-// Close ends all connections.
+// Close ends all connections. The listening socket is shut first: a connection accepted while the event loops end would
+// be left open and mute for as long as the process lives.
 func (f *Front) Close(ctx context.Context) error {
+	if fd, err := f.eng.Dup(); err == nil {
+		_ = syscall.Shutdown(fd, syscall.SHUT_RDWR)
+		_ = syscall.Close(fd)
+		time.Sleep(2 * time.Millisecond) // what was accepted before is on its loop by then
+	}
 	err := f.eng.Stop(ctx)
 	<-f.stopped
 	return err
--- a/internal/service/receipt_test.go
+++ b/internal/service/receipt_test.go
@@ -3,15 +3,20 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	amqp "github.com/rabbitmq/amqp091-go"
 
 	"whinrun/internal/audit"
+	"whinrun/internal/config"
+	"whinrun/internal/disk"
+	"whinrun/internal/logs"
 	"whinrun/internal/receipt"
 )
 
@@ -148,3 +153,61 @@
 }
 
 func jsonNumber(n uint64) string { b, _ := json.Marshal(n); return string(b) }
+
+// While the trail's disk is full nothing new is taken, what is held is answered, and it goes on when there is room.
+func TestFullDisk(t *testing.T) {
+	arrived, go_ := make(chan struct{}, 1), make(chan struct{})
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case arrived <- struct{}{}:
+		default:
+		}
+		<-go_
+		w.WriteHeader(201)
+	})
+	text := "[dispatcher]\nlisten = 127.0.0.1:0\n" + strings.Replace(base, "ADDRESS", addr, 1) + "[audit]\nfolder = " + t.TempDir() + "\n"
+	cfg, err := config.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fs := disk.NewMemory()
+	cfg.Audit.FS, cfg.Audit.Policy.RetryEvery = fs, 10*time.Millisecond
+	log, _ := logs.New(io.Discard, "info", 100)
+	s, err := Start(cfg, log, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Kill()
+	post := func() int {
+		res, _ := ask(t, s, "POST", "/p/status", "x", "TTL", "4")
+		return res.StatusCode
+	}
+	held := make(chan int, 1)
+	go func() { held <- post() }()
+	<-arrived
+	var full atomic.Bool
+	full.Store(true)
+	fs.SetFail(func(op, _ string) error {
+		if op == "write" && full.Load() {
+			return errors.New("no space left on device")
+		}
+		return nil
+	})
+	s.keeper.Put(&audit.Record{Kind: audit.Begin})
+	for s.keeper.Failing() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	for post() != 503 { // the door is shut a moment after the failure is known
+		t.Log("taken")
+	}
+	close(go_)
+	if status := <-held; status != 201 {
+		t.Error("held, and not answered:", status)
+	}
+	full.Store(false)
+	for deadline := time.Now().Add(10 * time.Second); post() != 201; {
+		if time.Now().After(deadline) {
+			t.Fatal("not taken again with room on the disk")
+		}
+	}
+}
