Receipts come back after a crash, from the trail; the trail's check goes by order, not by time

Need: a sender has proof through a crash, too. Subscriptions and receipts not taken out are put back at the start; what had no final answer is failed from then on, recorded as such. The module's notes on partners (down, back, cold) stand in the trail. Tests: a crash with one receipt fetched, one not, one message out; race detector on service. The race detector found that gnet's listener was read while it closed: the descriptor is now our own from the start.

--- a/internal/audit/keeper.go
+++ b/internal/audit/keeper.go
@@ -125,6 +125,11 @@
 // Key signs the trail, and receipts with it.
 func (k *Keeper) Key() *Key { return k.key }
 
+// Unfetched reads which receipts are still owed (see there).
+func (k *Keeper) Unfetched(since time.Time) ([]*Record, []*Pending, error) {
+	return Unfetched(k.store, since)
+}
+
 // Failing returns the error of a disk that fails, nil while it works.
 func (k *Keeper) Failing() error { return k.store.Failing() }
 
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -17,18 +17,20 @@
 
 // Kinds; the fields each one uses beside Kind and At are in brackets.
 const (
-	Begin     Kind = iota + 1 // a dispatcher started [Why: its version]
-	Accepted                  // a message was taken [Message Partner Tenant Class Life Size]
-	Started                   // an attempt went out [Message Partner Attempt Endpoint]
-	Ended                     // it ended [Message Partner Attempt Endpoint Result Ran Status Wait Took Why After]
-	Answered                  // the final answer [Message Partner Tenant Result Status Wait Attempts Why Reason]
-	Withdrawn                 // its sender gave it up [Message Partner Tenant]
-	Learned                   // an endpoint's standing was learned [Partner Endpoint Result]
-	Gap                       // records are missing: the disk did not take them [Count]
-	Seal                      // all before is sealed [Seal]
+	Begin      Kind = iota + 1 // a dispatcher started [Why: its version]
+	Accepted                   // a message was taken [Message Partner Tenant Class Life Size]
+	Started                    // an attempt went out [Message Partner Attempt Endpoint]
+	Ended                      // it ended [Message Partner Attempt Endpoint Result Ran Status Wait Took Why After]
+	Answered                   // the final answer [Message Partner Tenant Result Status Wait Attempts Why Reason]
+	Withdrawn                  // its sender gave it up [Message Partner Tenant]
+	Learned                    // an endpoint's standing was learned [Partner Endpoint Result]
+	Gap                        // records are missing: the disk did not take them [Count]
+	Seal                       // all before is sealed [Seal]
+	Subscribed                 // a receipt subscription was made [Tenant Receipt]
+	Fetched                    // a receipt was taken out of its subscription [Message Tenant Receipt]
 )
 
-var kindNames = [...]string{"", "begin", "accepted", "attempt", "ended", "answered", "withdrawn", "learned", "gap", "seal"}
+var kindNames = [...]string{"", "begin", "accepted", "attempt", "ended", "answered", "withdrawn", "learned", "gap", "seal", "subscribed", "fetched"}
 
 func (k Kind) String() string {
 	if int(k) < len(kindNames) {
@@ -60,7 +62,8 @@
 	Size     int    `cbor:"19,keyasint,omitempty" json:"size,omitempty"`
 	Count    uint64 `cbor:"20,keyasint,omitempty" json:"count,omitempty"`
 	Seal     *Mark  `cbor:"21,keyasint,omitempty" json:"seal,omitempty"`
-	Link     []byte `cbor:"-" json:"-"` // the first 8 bytes of the chain's hash after this record; they stand before the CBOR
+	Receipt  string `cbor:"23,keyasint,omitempty" json:"receipt,omitempty"` // subscription that gets the final answer
+	Link     []byte `cbor:"-" json:"-"`                                     // the first 8 bytes of the chain's hash after this record; they stand before the CBOR
 }
 
 // Mark is a seal: the chain's hash with all records before it, signed.
@@ -128,8 +131,11 @@
 		add('o', r.Result)
 	case Learned:
 		add('p', r.Partner)
-	case Seal, Begin, Gap:
+	case Seal, Begin, Gap, Subscribed:
 		add('k', r.Kind.String())
 	}
+	if r.Receipt != "" && r.Kind != Subscribed {
+		add('k', "receipt")
+	}
 	return all
 }
--- a/internal/day/check_test.go
+++ b/internal/day/check_test.go
@@ -169,11 +169,14 @@
 		return &audit.Record{Kind: kind, Message: "ma", Attempt: attempt, Endpoint: ep1.String(), Status: 201}
 	}
 	well := []*audit.Record{rec(audit.Accepted, 0), rec(audit.Started, 1), rec(audit.Ended, 1), rec(audit.Answered, 0)}
+	late := rec(audit.Accepted, 0) // of the same dispatcher: the trail goes on after what is missing
+	late.Message, late.At = "mb", (5 * second).Microseconds()
 	for _, c := range []struct {
 		name, want string
 		trail      []*audit.Record
 	}{
 		{"well", "", well},
+		{"a hole before a kill", "is not in the trail", []*audit.Record{well[0], well[3], late}},
 		{"an attempt is missing", "is not in the trail", []*audit.Record{well[0], well[3]}},
 		{"an attempt is invented", "which no stand-in saw", append(well[:3:3], rec(audit.Started, 2), rec(audit.Ended, 2), well[3])},
 		{"two at once", "while 1 was", []*audit.Record{well[0], well[1], rec(audit.Started, 2), rec(audit.Ended, 2), well[3]}},
@@ -184,7 +187,10 @@
 		r := quiet()
 		r.call(1*second, "a", "safe", "-", ep1, 1, ev(2*second, partner.Applied, 0), ev(2*second, partner.Answer, 201))
 		r.client("a", "safe", second, 2*second, 201)
-		r.Trail, r.Trailed = c.trail, true
+		r.Trail, r.Trailed, r.Began = c.trail, true, time.UnixMicro(0)
+		if strings.Contains(c.name, "kill") {
+			r.Lives[0].To = 10 * second
+		}
 		got := ""
 		for _, b := range Check(r) {
 			got += b.String()
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -46,7 +46,8 @@
 	Rules    control.Settings
 	Unclean  bool // an orderly stop left messages without an answer
 
-	Trailed       bool // a trail was kept
+	Began         time.Time // when the day's clock was 0
+	Trailed       bool      // a trail was kept
 	Trail         []*audit.Record
 	TrailProblems []string
 }
@@ -178,7 +179,7 @@
 	r.stop(true)
 	r.rec.Script, r.rec.Outcomes, r.rec.Events = s, out, r.log.Events()
 	r.rec.Told, r.rec.Lives, r.rec.Rules = r.list.told, r.lives, r.cfg.Module
-	r.rec.Trailed = true
+	r.rec.Trailed, r.rec.Began = true, r.log.Began()
 	if r.rec.Trail, r.rec.TrailProblems, err = readTrail(r.folder); err != nil {
 		r.errs = append(r.errs, err)
 	}
--- a/internal/day/trail.go
+++ b/internal/day/trail.go
@@ -2,15 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"whinrun/internal/audit"
 	"whinrun/internal/disk"
 )
 
-// lossWindow is how long before a kill records may be missing: the trail is synced within 20 ms, on a busy machine.
-const lossWindow = 100 * time.Millisecond
-
 // readTrail reads and verifies the trail of a day.
 func readTrail(folder string) (all []*audit.Record, problems []string, err error) {
 	fs, err := disk.OpenFolder(folder)
@@ -75,14 +74,21 @@
 
 // trailOfCalls compares attempts one by one.
 func (c *checker) trailOfCalls(started map[call]*audit.Record) {
-	seen := map[call]bool{}
+	// A kill loses the end of a trail and nothing before it: an attempt may be missing only if it came after all that
+	// the trail of its dispatcher has. How long the disk took does not matter.
+	seen, last := map[call]bool{}, map[string]time.Duration{}
+	for _, r := range c.r.Trail {
+		if r.Message != "" {
+			last[epoch(r.Message)] = r.Time().Sub(c.r.Began)
+		}
+	}
 	for _, a := range c.attempts {
 		n := 0
 		_, _ = fmt.Sscan(a.arrived.Attempt, &n)
 		k := call{a.arrived.Message, n + 1}
 		seen[k] = true
 		switch r := started[k]; {
-		case r == nil && !c.beforeKill(a.arrived.At):
+		case r == nil && !(c.killed() && a.arrived.At >= last[epoch(k.message)]-time.Millisecond):
 			c.breachTrail("message %s: attempt %d came to %v and is not in the trail", k.message, k.attempt, a.arrived.Endpoint)
 		case r != nil && r.Endpoint != a.arrived.Endpoint.String():
 			c.breachTrail("message %s: attempt %d came to %v, the trail has %s", k.message, k.attempt, a.arrived.Endpoint, r.Endpoint)
@@ -95,14 +101,14 @@
 	}
 }
 
-// beforeKill tells that records of a moment may have been lost with a killed dispatcher.
-func (c *checker) beforeKill(at time.Duration) bool {
-	for _, l := range c.r.Lives {
-		if l.To > 0 && l.Stopping == 0 && at > l.To-lossWindow && at < l.To+lossWindow {
-			return true
-		}
-	}
-	return false
+// killed tells that a dispatcher was killed at all.
+func (c *checker) killed() bool {
+	return slices.ContainsFunc(c.r.Lives, func(l Life) bool { return l.To > 0 && l.Stopping == 0 })
+}
+
+// epoch is what the names of one dispatcher's messages begin with.
+func epoch(message string) string {
+	return message[:max(0, strings.LastIndexByte(message, '-'))]
 }
 
 // breachTrail reports a trail that is not what happened, as rule 0.
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -55,6 +55,7 @@
 	Type    string // content type and coding
 	Coding  string
 	Body    []byte
+	Receipt string // subscription that gets the final answer, where its sender does not wait for it; for the Trail
 
 	Origin Origin
 	Tag    uint64 // for the Origin
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -74,6 +74,8 @@
 	addr    net.Addr
 	stopped chan struct{}
 
+	listener int // the listening socket, as a descriptor of our own
+
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 
@@ -118,11 +120,11 @@
 	f.eng = eng
 	fd, err := eng.Dup()
 	if err == nil {
+		f.listener = fd
 		var sa syscall.Sockaddr
 		if sa, err = syscall.Getsockname(fd); err == nil {
 			f.addr = tcpAddr(sa)
 		}
-		_ = syscall.Close(fd)
 	}
 	f.booted <- err
 	return gnet.None
@@ -190,11 +192,9 @@
 // Close ends all connections. The listening socket is shut first: a connection accepted while the event loops end would
 // be left open and mute for as long as the process lives.
 func (f *Front) Close(ctx context.Context) error {
-	if fd, err := f.eng.Dup(); err == nil {
-		_ = syscall.Shutdown(fd, syscall.SHUT_RDWR)
-		_ = syscall.Close(fd)
-		time.Sleep(2 * time.Millisecond) // what was accepted before is on its loop by then
-	}
+	_ = syscall.Shutdown(f.listener, syscall.SHUT_RDWR)
+	_ = syscall.Close(f.listener)
+	time.Sleep(2 * time.Millisecond) // what was accepted before is on its loop by then
 	err := f.eng.Stop(ctx)
 	<-f.stopped
 	return err
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -123,8 +123,10 @@
 		return "", 0, 0, ErrTooMany
 	}
 	if s.Name == "" {
-		b.names++
-		s.Name = fmt.Sprintf("amq.gen-%d", b.names)
+		for s.Name == "" || b.queues[address{tenant, s.Name}] != nil { // some may be back from before a restart
+			b.names++
+			s.Name = fmt.Sprintf("amq.gen-%d", b.names)
+		}
 	}
 	q := &queue{address: address{tenant, s.Name}, spec: s, used: now}
 	b.queues[q.address] = q
@@ -317,18 +319,19 @@
 }
 
 // Take takes an answer out of a queue.
-func (b *Box) Take(now time.Duration, tenant int, name string, no uint64) error {
+func (b *Box) Take(now time.Duration, tenant int, name string, no uint64) (payload any, err error) {
 	q, err := b.find(tenant, name, 0)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	q.used = now
 	i, ok := slices.BinarySearchFunc(q.ready, no, func(x item, no uint64) int { return cmp.Compare(x.seq, no) })
 	if !ok {
-		return ErrNoTag
+		return nil, ErrNoTag
 	}
+	payload = q.ready[i].payload
 	q.ready = slices.Delete(q.ready, i, i+1)
-	return nil
+	return payload, nil
 }
 
 // Room is a Box that several fronts share. Nothing blocks under its lock.
@@ -336,6 +339,17 @@
 	sync.Mutex
 	*Box
 	Key receipt.Signer // signs what is handed out; nil: nothing is signed
+
+	// Told when a subscription is made (without a receipt) and when a receipt is taken out; nil: nobody is. They must
+	// not block.
+	Changed func(tenant int, name string, taken *receipt.Receipt)
+}
+
+// Tell calls Changed.
+func (r *Room) Tell(tenant int, name string, taken *receipt.Receipt) {
+	if r.Changed != nil {
+		r.Changed(tenant, name, taken)
+	}
 }
 
 // Expire drops answers that nobody has read, and removes queues that nobody has used, for long.
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/mailbox/mailbox_test.go
@@ -230,10 +230,10 @@
 	if err != nil || len(all) != 2 || all[0].Payload != 1 || b.Lost != 1 {
 		t.Errorf("%v %v, %d lost", all, err, b.Lost)
 	}
-	if err := b.Take(0, 0, "q", all[1].No); err != nil {
+	if _, err := b.Take(0, 0, "q", all[1].No); err != nil {
 		t.Error(err)
 	}
-	if err := b.Take(0, 0, "q", all[1].No); !errors.Is(err, ErrNoTag) {
+	if _, err := b.Take(0, 0, "q", all[1].No); !errors.Is(err, ErrNoTag) {
 		t.Error("taken twice:", err)
 	}
 }
--- a/internal/partner/partner.go
+++ b/internal/partner/partner.go
@@ -102,6 +102,9 @@
 // NewLog starts a log that keeps so many events at most.
 func NewLog(most int) *Log { return &Log{start: time.Now(), most: most} }
 
+// Began is the start of the log.
+func (l *Log) Began() time.Time { return l.start }
+
 // Now is the time since the start of the log.
 func (l *Log) Now() time.Duration { return time.Since(l.start) }
 
--- a/internal/pushfront/receipts.go
+++ b/internal/pushfront/receipts.go
@@ -62,7 +62,7 @@
 	case err != nil:
 		return &push.Problem{Status: 503, Title: "not taken: " + err.Error(), Wait: time.Second}
 	}
-	r.place, r.receipts = place, uri
+	r.place, r.receipts, r.msg.Receipt = place, uri, name
 	return nil
 }
 
@@ -144,8 +144,11 @@
 			return &push.Problem{Status: 404, Title: "no such receipt"}
 		}
 		s.room.Lock()
-		err = s.room.Take(now, tenant, part[1], no)
+		taken, err := s.room.Take(now, tenant, part[1], no)
 		s.room.Unlock()
+		if r, ok := taken.(*receipt.Receipt); ok {
+			s.room.Tell(tenant, part[1], r)
+		}
 		return s.over(e, err, now)
 	}
 	return &push.Problem{Status: 405, Title: "POST makes a subscription, GET reads it, DELETE takes a receipt out"}
@@ -158,6 +161,7 @@
 	if err != nil {
 		return &push.Problem{Status: 503, Title: err.Error(), Wait: time.Minute}
 	}
+	s.room.Tell(tenant, name, nil)
 	_ = s.h.Respond(now, e.Stream, []h2.Field{{Name: ":status", Value: "201"}, {Name: "location", Value: receiptsPath + who + "/" + name}}, nil)
 	return nil
 }
--- a/internal/service/receipt_test.go
+++ b/internal/service/receipt_test.go
@@ -211,3 +211,66 @@
 		}
 	}
 }
+
+// Receipts that were not fetched are there again after a crash, those fetched are not; a message without its final
+// answer by then is failed, since it may have been sent.
+func TestReceiptsAfterACrash(t *testing.T) {
+	go_ := make(chan struct{})
+	defer close(go_)
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		if b, _ := io.ReadAll(r.Body); string(b) == "hang" {
+			<-go_
+		}
+		w.WriteHeader(201)
+	})
+	folder := t.TempDir()
+	more := "[audit]\nfolder = " + folder + "\n"
+	s := start(t, addr, more)
+	res, _ := ask(t, s, "POST", "/receipts/t", "")
+	sub := res.Header.Get("Location")
+	var names []string
+	for _, body := range []string{"one", "two", "hang"} {
+		res, _ := ask(t, s, "POST", "/p/upload", body, "TTL", "4", "Prefer", "respond-async", "Push-Receipt", sub)
+		names = append(names, res.Header.Get("Whinrun-Message"))
+	}
+	read := func(want int) (all []struct {
+		No      uint64
+		Receipt receipt.Receipt
+	}) {
+		for len(all) != want {
+			if _, b := ask(t, s, "GET", sub, ""); len(b) > 0 {
+				_ = json.Unmarshal(b, &all)
+			}
+		}
+		return all
+	}
+	first := read(2)[0]
+	ask(t, s, "DELETE", sub+"/"+jsonNumber(first.No), "")
+	fs, err := disk.OpenFolder(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for owed := 3; owed != 2; time.Sleep(time.Millisecond) { // until the trail on disk knows of the fetched one
+		store, _, err := audit.OpenReader(fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, all, err := audit.Unfetched(store, time.Time{}); err == nil {
+			owed = len(all)
+		}
+	}
+	s.Kill()
+	s = start(t, addr, more)
+	defer s.Kill()
+	got := map[string]string{}
+	for _, e := range read(2) {
+		got[e.Receipt.Message] = e.Receipt.Answer
+	}
+	left := names[0]
+	if first.Receipt.Message == left {
+		left = names[1]
+	}
+	if got[left] != "served" || got[names[2]] != "failed" {
+		t.Errorf("%v, want %s served and %s failed", got, left, names[2])
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -43,6 +43,7 @@
 	amqp   *amqpfront.Desk
 	lists  *lists
 	keeper *audit.Keeper // nil where no trail is kept
+	trail  *trail
 
 	background *background
 }
@@ -106,7 +107,6 @@
 
 // keep opens the trail. While its disk fails nothing new is taken; what is held is answered.
 func (s *Service) keep(names push.Names) (engine.Trail, error) {
-	now := func() time.Duration { return time.Duration(s.clock.Now()) * time.Microsecond }
 	bad := func(err error) {
 		if err != nil {
 			err = errors.New("the audit trail can't be written")
@@ -114,12 +114,13 @@
 		s.door.Shut(err)
 	}
 	var err error
-	s.keeper, err = audit.Open(s.cfg.Audit, now, func(f string, a ...any) { s.log.Warn("audit", f, a...) }, bad)
+	s.keeper, err = audit.Open(s.cfg.Audit, s.now, func(f string, a ...any) { s.log.Warn("audit", f, a...) }, bad)
 	if err != nil {
 		return nil, err
 	}
 	s.keeper.Put(&audit.Record{Kind: audit.Begin, Why: "epoch " + names.Epoch})
-	return &trail{s.keeper, s.cfg, s.roster, names}, nil
+	s.trail = &trail{s.keeper, s.cfg, s.roster, names}
+	return s.trail, nil
 }
 
 // endTrail closes the trail, in order or as a crash would.
@@ -146,18 +147,20 @@
 		}
 		return err
 	}
-	now := func() time.Duration { return time.Duration(s.clock.Now()) * time.Microsecond }
 	room := &mailbox.Room{Box: mailbox.New(cfg.Mailbox)}
 	if s.keeper != nil {
-		room.Key = s.keeper.Key()
+		room.Key, room.Changed = s.keeper.Key(), s.trail.changed
+		if err := s.restore(room); err != nil {
+			return err
+		}
 	}
 	s.startChores(room)
 	side := s.door.Side("push")
-	if err := add("push", cfg.Front, side, pushfront.Opener(cfg.Push, push.NewDesk(book), names, side, room, now)); err != nil || cfg.AMQP.Address == "" {
+	if err := add("push", cfg.Front, side, pushfront.Opener(cfg.Push, push.NewDesk(book), names, side, room, s.now)); err != nil || cfg.AMQP.Address == "" {
 		return err
 	}
 	side = s.door.Side("amqp")
-	s.amqp = amqpfront.New(cfg.AMQPDesk, book, names, side, room, now)
+	s.amqp = amqpfront.New(cfg.AMQPDesk, book, names, side, room, s.now)
 	return add("amqp", cfg.AMQP, side, s.amqp.Open)
 }
 
@@ -178,8 +181,16 @@
 // Door gives access to what clients have handed in, for measurements and tests.
 func (s *Service) Door() *door.Door { return s.door }
 
-// Note is engine.Log.
-func (s *Service) Note(text string) { s.log.Info("module", "%s", text) }
+// now is the dispatcher's clock as a duration.
+func (s *Service) now() time.Duration { return time.Duration(s.clock.Now()) * time.Microsecond }
+
+// Note is engine.Log. What the module tells of partners, returns among it, goes into the trail, too.
+func (s *Service) Note(text string) {
+	s.log.Info("module", "%s", text)
+	if s.keeper != nil {
+		s.keeper.Put(&audit.Record{Kind: audit.Learned, Why: text})
+	}
+}
 
 // Fault is engine.Log.
 func (s *Service) Fault(text string) { s.log.Error("engine", "%s", text) }
--- a/internal/service/trail.go
+++ b/internal/service/trail.go
@@ -1,13 +1,16 @@
 package service
 
 import (
+	"fmt"
 	"time"
 
 	"whinrun/control"
 	"whinrun/internal/audit"
 	"whinrun/internal/config"
 	"whinrun/internal/engine"
+	"whinrun/internal/mailbox"
 	"whinrun/internal/push"
+	"whinrun/internal/receipt"
 	"whinrun/internal/roster"
 )
 
@@ -40,6 +43,7 @@
 func (t *trail) Accepted(m *engine.Message) {
 	r := t.of(audit.Accepted, m)
 	r.Tenant, r.Class, r.Life, r.Size = t.cfg.Intake.Tenants[m.Tenant], t.cfg.Classes[m.Class], micros(m.Life), len(m.Body)
+	r.Receipt = m.Receipt
 	t.keeper.Put(r)
 }
 
@@ -61,7 +65,7 @@
 func (t *trail) Answered(m *engine.Message, a *engine.Answer) {
 	r := t.of(audit.Answered, m)
 	r.Tenant, r.Result, r.Status, r.Wait, r.Attempts = t.cfg.Intake.Tenants[m.Tenant], a.Final.String(), a.Status, micros(a.Wait), a.Tries
-	r.Why, r.Reason = a.Why, a.Reason
+	r.Why, r.Reason, r.Receipt = a.Why, a.Reason, m.Receipt
 	t.keeper.Put(r)
 }
 
@@ -72,3 +76,59 @@
 	}
 	t.keeper.Put(r)
 }
+
+// changed takes down what becomes of receipts.
+func (t *trail) changed(tenant int, name string, taken *receipt.Receipt) {
+	r := &audit.Record{Kind: audit.Subscribed, Tenant: t.cfg.Intake.Tenants[tenant], Receipt: name}
+	if taken != nil {
+		r.Kind, r.Message = audit.Fetched, taken.Message
+	}
+	t.keeper.Put(r)
+}
+
+// restore puts the receipts back that were promised before the dispatcher ended and not fetched. What had no final
+// answer by then gets the one that is true of it: failed, it may have been sent.
+func (s *Service) restore(room *mailbox.Room) error {
+	since := time.Now().Add(-s.cfg.Mailbox.Keep)
+	subscriptions, owed, err := s.keeper.Unfetched(since)
+	if err != nil {
+		return fmt.Errorf("receipts of before: %w", err)
+	}
+	tenants := map[string]int{}
+	for i, name := range s.cfg.Intake.Tenants {
+		tenants[name] = i
+	}
+	back := 0
+	for _, r := range subscriptions {
+		if tenant, ok := tenants[r.Tenant]; ok {
+			_, _, _, _ = room.Declare(s.now(), tenant, mailbox.Spec{Name: r.Receipt}, false) // one there is none too many
+		}
+	}
+	for _, p := range owed {
+		tenant, ok := tenants[p.Tenant]
+		if !ok {
+			continue
+		}
+		place, err := room.Promise(tenant, p.Queue, "", "")
+		if err != nil {
+			s.log.Warn("audit", "the receipt of %s is not put back: %v", p.Accepted.Message, err)
+			continue
+		}
+		if p.Answered == nil {
+			p.Answered = &audit.Record{Kind: audit.Answered, Message: p.Accepted.Message, Partner: p.Accepted.Partner, Tenant: p.Tenant,
+				Result: engine.Failed.String(), Reason: "the dispatcher ended before a final answer; it may have been sent", Receipt: p.Queue}
+			s.keeper.Put(p.Answered) // from now on that is its answer
+		}
+		place.Fill(s.now(), receiptOf(p.Answered))
+		back++
+	}
+	if back > 0 {
+		s.log.Info("audit", "%d receipts of before are put back", back)
+	}
+	return nil
+}
+
+func receiptOf(a *audit.Record) *receipt.Receipt {
+	return &receipt.Receipt{Message: a.Message, Answer: a.Result, At: a.Time(), Detail: a.Why, Reason: a.Reason, Attempts: a.Attempts,
+		Partner: a.Status, RetryAfter: a.Wait / 1000}
+}
