--- a/cmd/whinrun/main_test.go
+++ b/cmd/whinrun/main_test.go
@@ -4,16 +4,21 @@
 	"bufio"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"whinrun/internal/audit"
+	"whinrun/internal/disk"
 	"whinrun/internal/load"
 )
 
@@ -28,7 +33,7 @@
 }
 
 // serve starts the program with a partner that calls block, and returns it with its address.
-func serve(t *testing.T, bin string, handle http.HandlerFunc) (cmd *exec.Cmd, addr string) {
+func serve(t *testing.T, bin string, handle http.HandlerFunc, more ...string) (cmd *exec.Cmd, addr string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -44,6 +49,7 @@
 		t.Fatal(err)
 	}
 	settings := strings.NewReplacer("listen = 127.0.0.1:8420", "listen = 127.0.0.1:0\nstop-within = 1s", "127.0.0.1:8431", ln.Addr().String()).Replace(string(text))
+	settings += strings.Join(more, "")
 	file := filepath.Join(t.TempDir(), "w.ini")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
@@ -145,3 +151,94 @@
 		t.Errorf("%v\n%s", err, out)
 	}
 }
+
+// The program is killed again and again at random moments in load: its trail verifies, no attempt that a partner saw is
+// missing but at the end that a kill took, and none is invented. WHINRUN_KILLS sets how often, 5 where it is not set.
+func TestKilled(t *testing.T) {
+	kills := 5
+	if n, err := strconv.Atoi(os.Getenv("WHINRUN_KILLS")); err == nil {
+		kills = n
+	}
+	var mu sync.Mutex
+	type call struct{ message, attempt string }
+	came := map[call]time.Time{}
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		came[call{r.Header.Get("Whinrun-Message"), r.Header.Get("Whinrun-Attempt")}] = time.Now()
+		n := len(came)
+		mu.Unlock()
+		if n%7 == 0 {
+			w.WriteHeader(500)
+			return
+		}
+		w.WriteHeader(201)
+	}
+	bin, folder, rng := build(t), t.TempDir(), rand.New(rand.NewPCG(5, 5))
+	for range kills {
+		cmd, addr := serve(t, bin, handle, "\n[audit]\nfolder = "+folder+"\nsegment = 64KiB\n")
+		c := load.NewClient(addr, 1)
+		ctx, stop := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		for i := range 8 {
+			all.Go(func() {
+				for ctx.Err() == nil {
+					_, _, _, _ = c.Post(ctx, &load.Message{Test: "x", Path: []string{"/archive/upload", "/archive/status"}[i%2], Token: "quickstart", TTL: 20})
+				}
+			})
+		}
+		time.Sleep(time.Duration(rng.IntN(120)) * time.Millisecond)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		stop()
+		all.Wait()
+		c.Close()
+	}
+	fs, err := disk.OpenFolder(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store, rep, err := audit.OpenReader(fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys, err := audit.PublicKeys(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := audit.Verify(store, keys)
+	if err != nil || len(v.Problems) > 0 {
+		t.Fatal(v.Problems, err)
+	}
+	records, err := audit.All(store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	epoch := func(m string) string { return m[:max(0, strings.LastIndexByte(m, '-'))] }
+	last, started := map[string]time.Time{}, map[call]bool{}
+	for _, r := range records {
+		if r.Message == "" {
+			continue
+		}
+		last[epoch(r.Message)] = r.Time()
+		k := call{r.Message, strconv.Itoa(r.Attempt - 1)}
+		if r.Kind == audit.Started {
+			started[k] = true
+		}
+		if _, ok := came[k]; r.Kind == audit.Ended && r.Status > 0 && !ok {
+			t.Errorf("attempt %v has an answer, and no partner saw it", k)
+		}
+	}
+	lost := 0
+	for k, at := range came {
+		if !started[k] {
+			if lost++; at.Before(last[epoch(k.message)].Add(-time.Millisecond)) {
+				t.Errorf("attempt %v is missing, with later ones there", k)
+			}
+		}
+	}
+	t.Logf("%d kills, %d attempts seen, %d lost with the ends that kills took; %d records, %d seals, %v", kills, len(came), lost, v.Records, v.Seals,
+		rep.Problems)
+	if len(came) == 0 || kills > 2 && v.Seals == 0 {
+		t.Error("nothing was tried")
+	}
+}
