--- a/internal/amqpfront/amqpfront.go
+++ b/internal/amqpfront/amqpfront.go
@@ -98,7 +98,7 @@
 		return
 	}
 	s.asked = on
-	reason := "too much is held"
+	reason := "no messages are taken for now"
 	if s.away {
 		reason = "the dispatcher is stopping"
 	}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -105,11 +105,11 @@
 func (d *Door) Usage() Usage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return Usage{d.conns, d.channels, d.held, d.bytes, d.blocked.Load()}
+	return Usage{d.conns, d.channels, d.held, d.bytes, d.Blocked()}
 }
 
-// Blocked tells whether publishers are to stop for a while.
-func (d *Door) Blocked() bool { return d.blocked.Load() }
+// Blocked tells whether publishers are to stop for a while: too much is held, or the door is shut.
+func (d *Door) Blocked() bool { return d.blocked.Load() || d.shut.Load() != nil }
 
 // level is called with the lock held after every change.
 func (d *Door) level() {
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -81,6 +81,27 @@
 	}
 }
 
+// A shut door takes nothing new and says so to publishers; what it took before is not touched.
+func TestShut(t *testing.T) {
+	c := &core{room: 5}
+	d := New(limits(), 1, c)
+	s := d.Side("a")
+	x, y := s.Ticket(0), s.Ticket(0)
+	if err := x.Submit(&engine.Message{}); err != nil {
+		t.Fatal(err)
+	}
+	reason := errors.New("no disk")
+	d.Shut(reason)
+	if err := y.Submit(&engine.Message{}); !errors.Is(err, reason) || !s.Blocked() {
+		t.Error("taken by a shut door:", err)
+	}
+	x.Answered(engine.Served, true)
+	d.Shut(nil)
+	if err := y.Submit(&engine.Message{}); err != nil || s.Blocked() || s.Served.Load() != 1 {
+		t.Error("not open again:", err)
+	}
+}
+
 // The valve changes its mind only across the gap: at levels within it, it stays as it was.
 func TestValveHasHysteresis(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
