--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -178,3 +178,49 @@
 		t.Errorf("%+v, %d lost, %v", v, lost, err)
 	}
 }
+
+// BenchmarkRestart is what a restart reads of a trail of a million records, one message in a hundred with a receipt.
+func BenchmarkRestart(b *testing.B) {
+	fs := disk.NewMemory()
+	opt := logstore.Options{Policy: plan.Policy{SegmentBytes: 8 << 20}, Buffer: 4 << 20, Labels: Labels, Wall: wall}
+	s, _, err := logstore.Open(fs, opt)
+	if err != nil {
+		b.Fatal(err)
+	}
+	k, err := OpenKey(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	trail, _ := Resume(s, k, wall)
+	for i := range 250_000 {
+		id, queue := fmt.Sprint("epoch-", i), ""
+		if i%100 == 0 {
+			queue = "amq.gen-1"
+		}
+		trail.Write(1, &Record{Kind: Accepted, Message: id, Partner: "p", Tenant: "t", Class: "c", Receipt: queue})
+		trail.Write(1, &Record{Kind: Started, Message: id, Attempt: 1, Endpoint: "127.0.0.1:8431"})
+		trail.Write(1, &Record{Kind: Ended, Message: id, Attempt: 1, Endpoint: "127.0.0.1:8431", Result: "ok", Status: 201, Took: 5000})
+		trail.Write(1, &Record{Kind: Answered, Message: id, Partner: "p", Tenant: "t", Result: "served", Attempts: 1, Receipt: queue})
+		if i%1000 == 999 {
+			_ = trail.Seal(1)
+			_ = s.Commit(1)
+		}
+	}
+	for more := true; more; {
+		more, _ = s.Tend()
+	}
+	_ = s.Close(1)
+	for b.Loop() {
+		s, _, err := logstore.Open(fs, opt)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := Resume(s, k, wall); err != nil {
+			b.Fatal(err)
+		}
+		if _, owed, err := Unfetched(s, time.Time{}); err != nil || len(owed) != 2500 {
+			b.Fatal(len(owed), err)
+		}
+		_ = s.Close(1)
+	}
+}
