Merged what the change wrote twice, once more; state and words that were left over are out

Behaviour is as before, no bound or assertion touched. The clock as a duration stood in three packages: engine.Elapsed. Stand-in and dispatcher were set up four times in compare: standIn; raw connections were closed by two pieces: closeAll. The trail's readers each opened the folder first: OpenReader takes it. Putting receipts back made a second table of tenants: intake.Book has one. Out: a configuration that wrapped one field, a field and a method that nothing read, a function that was a conversion, a check that another covers, comments that were no longer true. Left: HTTP/2's budget for frames that do no work takes fractions of a frame, which the limiter of the AMQP side does not: one would change a bound. logstore.Urge has no caller yet.

--- a/cmd/whinrun/audit.go
+++ b/cmd/whinrun/audit.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"whinrun/internal/audit"
-	"whinrun/internal/disk"
 	"whinrun/internal/logstore"
 )
 
@@ -27,11 +26,7 @@
 }
 
 func (f *trailFolder) open() (*logstore.Store, error) {
-	fs, err := disk.OpenFolder(f.Folder)
-	if err != nil {
-		return nil, err
-	}
-	store, rep, err := audit.OpenReader(fs)
+	store, rep, err := audit.OpenReader(f.Folder)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/whinrun/main_test.go
+++ b/cmd/whinrun/main_test.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"whinrun/internal/audit"
-	"whinrun/internal/disk"
 	"whinrun/internal/load"
 )
 
@@ -193,11 +192,7 @@
 		all.Wait()
 		c.Close()
 	}
-	fs, err := disk.OpenFolder(folder)
-	if err != nil {
-		t.Fatal(err)
-	}
-	store, rep, err := audit.OpenReader(fs)
+	store, rep, err := audit.OpenReader(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/amqpfront/amqpfront.go
+++ b/internal/amqpfront/amqpfront.go
@@ -15,12 +15,9 @@
 	"whinrun/internal/push"
 )
 
-// Config is of all sessions.
-type Config struct{ AMQP amqp.Config }
-
 // Desk is what the sessions of one front share.
 type Desk struct {
-	cfg   Config
+	cfg   amqp.Config
 	book  *intake.Book
 	names push.Names
 	side  *door.Side
@@ -31,21 +28,14 @@
 }
 
 // New makes a Desk. now is the clock of the sessions.
-func New(cfg Config, book *intake.Book, names push.Names, side *door.Side, room *mailbox.Room, now func() time.Duration) *Desk {
+func New(cfg amqp.Config, book *intake.Book, names push.Names, side *door.Side, room *mailbox.Room, now func() time.Duration) *Desk {
 	return &Desk{cfg: cfg, book: book, names: names, side: side, now: now, room: room}
 }
 
-// Usage is how many answer queues there are, and answers in them.
-func (d *Desk) Usage() (queues, answers int) {
-	d.room.Lock()
-	defer d.room.Unlock()
-	return d.room.Usage()
-}
-
 // Open makes the session of a connection.
 func (d *Desk) Open(c *front.Conn, now time.Duration) front.Session {
 	s := &session{desk: d, conn: c, owner: d.owner.Add(1), channels: map[uint16]*channel{}}
-	s.c = amqp.NewConn(d.cfg.AMQP, now, s.event)
+	s.c = amqp.NewConn(d.cfg, now, s.event)
 	return s
 }
 
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -41,7 +41,7 @@
 	return k, keys
 }
 
-// write puts n messages down, a seal after each tenth record.
+// write puts n messages down, a seal after each fourth.
 func write(t *testing.T, s *logstore.Store, k *Key, from, n int) *Trail {
 	t.Helper()
 	trail, err := Resume(s, k, wall)
--- a/internal/audit/keeper.go
+++ b/internal/audit/keeper.go
@@ -23,7 +23,6 @@
 // answer waits for the disk.
 type Keeper struct {
 	*Trail
-	cfg   Config
 	store *logstore.Store
 	now   func() time.Duration
 	log   func(format string, a ...any)
@@ -70,7 +69,7 @@
 		_ = store.Close(now())
 		return nil, err
 	}
-	k := &Keeper{Trail: trail, cfg: cfg, store: store, now: now, log: log, bad: bad, most: cfg.Buffer / 128, wake: make(chan struct{}, 1), quit: make(chan struct{})}
+	k := &Keeper{Trail: trail, store: store, now: now, log: log, bad: bad, most: cfg.Buffer / 128, wake: make(chan struct{}, 1), quit: make(chan struct{})}
 	k.done.Go(k.run)
 	return k, nil
 }
--- a/internal/audit/query.go
+++ b/internal/audit/query.go
@@ -10,7 +10,11 @@
 )
 
 // OpenReader opens a folder's trail for reading, also beside a running dispatcher.
-func OpenReader(fs disk.FS) (*logstore.Store, logstore.Report, error) {
+func OpenReader(folder string) (*logstore.Store, logstore.Report, error) {
+	fs, err := disk.OpenFolder(folder)
+	if err != nil {
+		return nil, logstore.Report{}, err
+	}
 	return logstore.Open(fs, logstore.Options{Labels: Labels, Wall: time.Now, ReadOnly: true})
 }
 
--- a/internal/compare/compare.go
+++ b/internal/compare/compare.go
@@ -76,29 +76,38 @@
 
 // Run measures all three and writes the table.
 func Run(ctx context.Context, w io.Writer, o Options) error {
-	p := partner.New(partner.Config{Name: "p", Pace: o.Pace, Streams: 1000, Seed: 1}, partner.NewLog(0))
-	e, err := p.Listen("127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	defer p.Close()
-	s, err := startDispatcher(fmt.Sprintf(settings, e.Addr()))
+	direct, s, stop, err := standIn(partner.Config{Pace: o.Pace}, settings)
 	if err != nil {
 		return err
 	}
-	defer s.Kill()
-	proxy, stop, err := startProxy(e.Addr().String(), o.Conns)
+	defer stop()
+	proxy, stopProxy, err := startProxy(direct, o.Conns)
 	if err != nil {
 		return err
 	}
-	defer stop()
-	targets := []*target{{name: "direct", addr: e.Addr().String()}, {name: "ReverseProxy", addr: proxy}, {name: "whinrun", addr: s.Addr().String()}}
+	defer stopProxy()
+	targets := []*target{{name: "direct", addr: direct}, {name: "ReverseProxy", addr: proxy}, {name: "whinrun", addr: s.Addr().String()}}
 	if err := inTurns(ctx, w, o, targets); err != nil {
 		return err
 	}
 	return memory(ctx, w, o)
 }
 
+// standIn starts a stand-in that talks to many at once, and a dispatcher in front of it; %s in the settings is its address.
+func standIn(cfg partner.Config, text string) (addr string, s *service.Service, stop func(), err error) {
+	cfg.Name, cfg.Streams, cfg.Seed = "p", 1000, 1
+	p := partner.New(cfg, partner.NewLog(0))
+	e, err := p.Listen("127.0.0.1:0")
+	if err != nil {
+		return "", nil, nil, err
+	}
+	if s, err = startDispatcher(fmt.Sprintf(text, e.Addr())); err != nil {
+		p.Close()
+		return "", nil, nil, err
+	}
+	return e.Addr().String(), s, func() { s.Kill(); p.Close() }, nil
+}
+
 // inTurns measures all targets and writes the table.
 func inTurns(ctx context.Context, w io.Writer, o Options, targets []*target) error {
 	for _, t := range targets {
@@ -156,11 +165,11 @@
 	}
 	defer s.Kill()
 	before := heapNow()
-	r, err := newRawHold(s.Addr().String(), held, o.Size)
+	conns, err := holdRaw(s.Addr().String(), held, o.Size)
+	defer closeAll(conns)
 	if err != nil {
 		return err
 	}
-	defer r.close()
 	for s.Stats().Open < held*99/100 {
 		select {
 		case <-ctx.Done():
--- a/internal/compare/fronts.go
+++ b/internal/compare/fronts.go
@@ -20,17 +20,11 @@
 // Fronts measures publish to confirm beside the HTTP/2 front on the same stand-in, fairness between the two under
 // overload, and what an idle connection and channel take.
 func Fronts(ctx context.Context, w io.Writer, o Options) error {
-	p := partner.New(partner.Config{Name: "p", Pace: o.Pace, Streams: 1000, Seed: 1}, partner.NewLog(0))
-	e, err := p.Listen("127.0.0.1:0")
+	_, s, stop, err := standIn(partner.Config{Pace: o.Pace}, amqpSettings)
 	if err != nil {
 		return err
 	}
-	defer p.Close()
-	s, err := startDispatcher(fmt.Sprintf(amqpSettings, e.Addr()))
-	if err != nil {
-		return err
-	}
-	defer s.Kill()
+	defer stop()
 	err = inTurns(ctx, w, o, []*target{{name: "HTTP/2", addr: s.Addr().String()}, {name: "AMQP", addr: s.AMQPAddr().String(), amqp: true}})
 	if err != nil {
 		return err
@@ -45,18 +39,12 @@
 // within its aim.
 func fairness(ctx context.Context, w io.Writer, o Options) error {
 	const takes, offered = 600.0, 900.0
-	p := partner.New(partner.Config{Name: "p", Pace: o.Pace, Limit: takes, TellWait: false, Streams: 1000, Seed: 1}, partner.NewLog(0))
-	e, err := p.Listen("127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	defer p.Close()
 	text := strings.Replace(strings.Replace(amqpSettings, "aim = 5s", "aim = 1s", 1), "deadline = 20s", "deadline = 3s", 1)
-	s, err := startDispatcher(fmt.Sprintf(text, e.Addr()))
+	_, s, stop, err := standIn(partner.Config{Pace: o.Pace, Limit: takes}, text)
 	if err != nil {
 		return err
 	}
-	defer s.Kill()
+	defer stop()
 	client, publisher := load.NewClient(s.Addr().String(), o.Conns), load.NewPublisher(s.AMQPAddr().String(), "t", "-", o.Conns)
 	defer client.Close()
 	defer publisher.Close()
@@ -106,12 +94,6 @@
 	return nil
 }
 
-func closeAll(conns []net.Conn) {
-	for _, c := range conns {
-		_ = c.Close()
-	}
-}
-
 // dialRaw opens connections with channels by bytes written beforehand: a client library would take more than what is
 // to be measured.
 func dialRaw(addr string, n, channels int) (all []net.Conn, err error) {
--- a/internal/compare/hold.go
+++ b/internal/compare/hold.go
@@ -8,31 +8,28 @@
 	"whinrun/internal/h2"
 )
 
-// rawHold hands in many messages over few connections with as little memory of its own as can be: net/http's client
-// would take more than what is to be measured.
-type rawHold struct{ conns []net.Conn }
-
-func (r *rawHold) close() {
-	for _, c := range r.conns {
-		_ = c.Close()
-	}
-}
-
-func newRawHold(addr string, n, size int) (*rawHold, error) {
+// holdRaw hands in many messages over few connections with as little memory of its own as can be: net/http's client
+// would take more than what is to be measured. Its connections are to be closed also after an error.
+func holdRaw(addr string, n, size int) (conns []net.Conn, err error) {
 	const perConn = 1000
-	r := &rawHold{}
 	body := make([]byte, size)
 	for made := 0; made < n; made += perConn {
 		nc, err := net.Dial("tcp", addr)
 		if err != nil {
-			return r, err
+			return conns, err
 		}
-		r.conns = append(r.conns, nc)
+		conns = append(conns, nc)
 		if err := hold(nc, perConn, body); err != nil {
-			return r, fmt.Errorf("connection %d: %w", len(r.conns), err)
+			return conns, fmt.Errorf("connection %d: %w", len(conns), err)
 		}
 	}
-	return r, nil
+	return conns, nil
+}
+
+func closeAll(conns []net.Conn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
 }
 
 // hold opens streams on one connection and forgets them; the answers are left to lie.
--- a/internal/compare/trail.go
+++ b/internal/compare/trail.go
@@ -14,24 +14,17 @@
 // Trail measures delivery with the audit trail on and off, in turns on the same stand-in, and what a message takes on
 // disk.
 func Trail(ctx context.Context, w io.Writer, o Options) error {
-	p := partner.New(partner.Config{Name: "p", Pace: o.Pace, Streams: 1000, Seed: 1}, partner.NewLog(0))
-	e, err := p.Listen("127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	defer p.Close()
 	folder, err := os.MkdirTemp("", "whinrun-trail")
 	if err != nil {
 		return err
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	text := fmt.Sprintf(settings, e.Addr())
-	off, err := startDispatcher(text)
+	addr, off, stop, err := standIn(partner.Config{Pace: o.Pace}, settings)
 	if err != nil {
 		return err
 	}
-	defer off.Kill()
-	on, err := startDispatcher(text + "[audit]\nfolder = " + folder + "\n")
+	defer stop()
+	on, err := startDispatcher(fmt.Sprintf(settings, addr) + "[audit]\nfolder = " + folder + "\n")
 	if err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,6 @@
 
 	"whinrun/control"
 	"whinrun/internal/amqp"
-	"whinrun/internal/amqpfront"
 	"whinrun/internal/audit"
 	"whinrun/internal/door"
 	"whinrun/internal/engine"
@@ -31,7 +30,7 @@
 	Front    front.Config
 	Push     pushfront.Config
 	AMQP     front.Config // its address is empty where AMQP is off
-	AMQPDesk amqpfront.Config
+	AMQPConn amqp.Config
 	Outbound outbound.Config
 	Bounds   engine.Bounds
 	Audit    audit.Config
@@ -126,13 +125,11 @@
 func (r *reader) amqp(c *Config, d, l *section) {
 	a := r.single("amqp")
 	c.AMQP = front.Config{Address: a.raw["listen"], Loops: d.int("loops"), Unread: max(l.int("unread"), 2*c.Intake.MaxBody)}
-	c.AMQPDesk = amqpfront.Config{
-		AMQP: amqp.Config{Product: "whinrun", ChannelMax: uint16(a.int("channels")), FrameMax: a.int("frame"), Heartbeat: a.span("heartbeat"),
-			Handshake: l.span("handshake"), Stall: l.span("stall"), AbuseBurst: l.num["abuse-burst"], AbuseRate: l.num["abuse-rate"]},
-	}
+	c.AMQPConn = amqp.Config{Product: "whinrun", ChannelMax: uint16(a.int("channels")), FrameMax: a.int("frame"), Heartbeat: a.span("heartbeat"),
+		Handshake: l.span("handshake"), Stall: l.span("stall"), AbuseBurst: l.num["abuse-burst"], AbuseRate: l.num["abuse-rate"]}
 	q := r.single("answers")
 	c.Mailbox = mailbox.Limits{Queues: q.int("queues"), Length: q.int("queue-length"), Idle: q.span("queue-idle"), Keep: q.span("keep")}
-	if h := c.AMQPDesk.AMQP.Heartbeat; h%time.Second != 0 {
+	if h := c.AMQPConn.Heartbeat; h%time.Second != 0 {
 		r.bad(a.at["heartbeat"], "heartbeat", "is not in whole seconds")
 	}
 }
--- a/internal/day/trail.go
+++ b/internal/day/trail.go
@@ -7,16 +7,11 @@
 	"time"
 
 	"whinrun/internal/audit"
-	"whinrun/internal/disk"
 )
 
 // readTrail reads and verifies the trail of a day.
 func readTrail(folder string) (all []*audit.Record, problems []string, err error) {
-	fs, err := disk.OpenFolder(folder)
-	if err != nil {
-		return nil, nil, err
-	}
-	store, rep, err := audit.OpenReader(fs)
+	store, rep, err := audit.OpenReader(folder)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -19,6 +19,9 @@
 // Clock is monotonic time; steps of the wall clock do not show in it.
 type Clock interface{ Now() control.Time }
 
+// Elapsed is a clock's time as a duration.
+func Elapsed(c Clock) time.Duration { return time.Duration(c.Now()) * time.Microsecond }
+
 // RealClock is the machine's monotonic clock from the moment it is made.
 type RealClock struct{ start time.Time }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -200,7 +200,7 @@
 	return err
 }
 
-func (f *Front) elapsed() time.Duration { return time.Duration(f.clock.Now()) * time.Microsecond }
+func (f *Front) elapsed() time.Duration { return engine.Elapsed(f.clock) }
 
 // OnOpen starts a session, where there is room.
 func (f *Front) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -126,7 +126,7 @@
 
 // part tells whether a text can be the last part of a path at a partner.
 func part(s string) bool {
-	return s != "" && s != ".." && s != "." && !strings.Contains(s, "..") &&
+	return s != "" && s != "." && !strings.Contains(s, "..") &&
 		strings.IndexFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f || strings.ContainsRune(`#\/?`, r) }) < 0
 }
 
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -11,7 +11,7 @@
 	"whinrun/internal/h2"
 )
 
-func (p *Pool) elapsed() time.Duration { return time.Duration(p.clock.Now()) * time.Microsecond }
+func (p *Pool) elapsed() time.Duration { return engine.Elapsed(p.clock) }
 
 // OnOpen starts HTTP/2 on a connection. It carries attempts only when the peer's SETTINGS are here: an endpoint that
 // takes connections and says nothing then costs no doubt.
--- a/internal/push/inbound.go
+++ b/internal/push/inbound.go
@@ -33,7 +33,7 @@
 	return &Problem{Status: status, Title: fmt.Sprintf(format, a...)}
 }
 
-// Read makes a message of a request's header section, or tells why not. length is its content-length or -1.
+// Read makes a message of a request's header section, or tells why not.
 func (d *Desk) Read(fields []h2.Field) (*engine.Message, *Problem) {
 	path, _, _ := strings.Cut(h2.Value(fields, ":path"), "?")
 	r, target := d.book.Find(path)
--- a/internal/service/chores.go
+++ b/internal/service/chores.go
@@ -18,13 +18,12 @@
 
 // startChores plans sealing, upkeep of the trail, expiry of answers and a look at old records.
 func (s *Service) startChores(room *mailbox.Room) {
-	now := s.now
 	b := &background{quit: make(chan struct{})}
 	all := []chores.Chore{{Name: "expire answers", Class: 1, Every: 5 * time.Second, Deadline: time.Minute}}
 	b.run = append(b.run, func() (bool, error) {
 		room.Lock()
 		defer room.Unlock()
-		room.Expire(now())
+		room.Expire(s.now())
 		return false, nil
 	})
 	if k := s.keeper; k != nil {
@@ -33,7 +32,7 @@
 			chores.Chore{Name: "verify", Class: 3, Every: 30 * time.Second})
 		b.run = append(b.run, func() (bool, error) { return false, k.SealNow() }, k.Tend, k.VerifyNext)
 	}
-	b.planner = chores.New(chores.Budget{Share: s.cfg.Background, Burst: 200 * time.Millisecond}, all, now())
+	b.planner = chores.New(chores.Budget{Share: s.cfg.Background, Burst: 200 * time.Millisecond}, all, s.now())
 	s.background = b
 	b.done.Go(func() {
 		timer := time.NewTimer(0)
@@ -44,14 +43,14 @@
 				return
 			case <-timer.C:
 			}
-			i, wait := b.planner.Next(now(), s.pressure())
+			i, wait := b.planner.Next(s.now(), s.pressure())
 			if i >= 0 {
-				start := now()
+				start := s.now()
 				more, err := b.run[i]()
 				if err != nil {
 					s.log.Warn("background", "%s: %v", all[i].Name, err)
 				}
-				b.planner.Done(i, now(), now()-start, more && err == nil)
+				b.planner.Done(i, s.now(), s.now()-start, more && err == nil)
 			}
 			timer.Reset(wait)
 		}
--- a/internal/service/receipt_test.go
+++ b/internal/service/receipt_test.go
@@ -246,12 +246,8 @@
 	}
 	first := read(2)[0]
 	ask(t, s, "DELETE", sub+"/"+jsonNumber(first.No), "")
-	fs, err := disk.OpenFolder(folder)
-	if err != nil {
-		t.Fatal(err)
-	}
 	for owed := 3; owed != 2; time.Sleep(time.Millisecond) { // until the trail on disk knows of the fetched one
-		store, _, err := audit.OpenReader(fs)
+		store, _, err := audit.OpenReader(folder)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -40,7 +40,6 @@
 	pool   *outbound.Pool
 	door   *door.Door
 	fronts []*front.Front // push, then AMQP where it is on
-	amqp   *amqpfront.Desk
 	lists  *lists
 	keeper *audit.Keeper // nil where no trail is kept
 	trail  *trail
@@ -150,7 +149,7 @@
 	room := &mailbox.Room{Box: mailbox.New(cfg.Mailbox)}
 	if s.keeper != nil {
 		room.Key, room.Changed = s.keeper.Key(), s.trail.changed
-		if err := s.restore(room); err != nil {
+		if err := s.restore(room, book); err != nil {
 			return err
 		}
 	}
@@ -160,8 +159,7 @@
 		return err
 	}
 	side = s.door.Side("amqp")
-	s.amqp = amqpfront.New(cfg.AMQPDesk, book, names, side, room, s.now)
-	return add("amqp", cfg.AMQP, side, s.amqp.Open)
+	return add("amqp", cfg.AMQP, side, amqpfront.New(cfg.AMQPConn, book, names, side, room, s.now).Open)
 }
 
 // Addr is where clients connect by HTTP/2.
@@ -182,7 +180,7 @@
 func (s *Service) Door() *door.Door { return s.door }
 
 // now is the dispatcher's clock as a duration.
-func (s *Service) now() time.Duration { return time.Duration(s.clock.Now()) * time.Microsecond }
+func (s *Service) now() time.Duration { return engine.Elapsed(s.clock) }
 
 // Note is engine.Log. What the module tells of partners, returns among it, goes into the trail, too.
 func (s *Service) Note(text string) {
@@ -228,7 +226,7 @@
 	ctx, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
 	var all sync.WaitGroup
-	for _, f := range s.fronts { // together: each takes half a second
+	for _, f := range s.fronts { // together: each may have to wait for its loops
 		all.Go(func() { _ = f.Close(ctx) })
 	}
 	all.Wait()
--- a/internal/service/trail.go
+++ b/internal/service/trail.go
@@ -8,6 +8,7 @@
 	"whinrun/internal/audit"
 	"whinrun/internal/config"
 	"whinrun/internal/engine"
+	"whinrun/internal/intake"
 	"whinrun/internal/mailbox"
 	"whinrun/internal/push"
 	"whinrun/internal/receipt"
@@ -27,8 +28,6 @@
 
 var standings = map[control.Health]string{control.Ready: "ready", control.Draining: "draining", control.Gone: "gone"}
 
-func micros(t control.Time) int64 { return int64(t) }
-
 func (t *trail) of(kind audit.Kind, m *engine.Message) *audit.Record {
 	return &audit.Record{Kind: kind, Message: t.names.Of(m.ID), Partner: t.cfg.Partners[m.Dest].Name}
 }
@@ -42,7 +41,7 @@
 // Accepted is engine.Trail, as are the others.
 func (t *trail) Accepted(m *engine.Message) {
 	r := t.of(audit.Accepted, m)
-	r.Tenant, r.Class, r.Life, r.Size = t.cfg.Intake.Tenants[m.Tenant], t.cfg.Classes[m.Class], micros(m.Life), len(m.Body)
+	r.Tenant, r.Class, r.Life, r.Size = t.cfg.Intake.Tenants[m.Tenant], t.cfg.Classes[m.Class], int64(m.Life), len(m.Body)
 	r.Receipt = m.Receipt
 	t.keeper.Put(r)
 }
@@ -51,8 +50,8 @@
 
 func (t *trail) Ended(a *engine.Attempt, e *engine.End, v engine.Verdict, after bool) {
 	r := t.at(t.of(audit.Ended, a.Msg), a)
-	r.Result, r.Ran, r.Status, r.Wait, r.Why, r.After = results[v.Result], v.Ran, e.Status, micros(e.Wait), v.Why, after
-	r.Took = micros(max(0, control.Time(t.keeper.Now()/time.Microsecond)-a.Sent))
+	r.Result, r.Ran, r.Status, r.Wait, r.Why, r.After = results[v.Result], v.Ran, e.Status, int64(e.Wait), v.Why, after
+	r.Took = max(0, t.keeper.Now().Microseconds()-int64(a.Sent))
 	t.keeper.Put(r)
 }
 
@@ -64,7 +63,7 @@
 
 func (t *trail) Answered(m *engine.Message, a *engine.Answer) {
 	r := t.of(audit.Answered, m)
-	r.Tenant, r.Result, r.Status, r.Wait, r.Attempts = t.cfg.Intake.Tenants[m.Tenant], a.Final.String(), a.Status, micros(a.Wait), a.Tries
+	r.Tenant, r.Result, r.Status, r.Wait, r.Attempts = t.cfg.Intake.Tenants[m.Tenant], a.Final.String(), a.Status, int64(a.Wait), a.Tries
 	r.Why, r.Reason, r.Receipt = a.Why, a.Reason, m.Receipt
 	t.keeper.Put(r)
 }
@@ -88,24 +87,20 @@
 
 // restore puts the receipts back that were promised before the dispatcher ended and not fetched. What had no final
 // answer by then gets the one that is true of it: failed, it may have been sent.
-func (s *Service) restore(room *mailbox.Room) error {
+func (s *Service) restore(room *mailbox.Room, book *intake.Book) error {
 	since := time.Now().Add(-s.cfg.Mailbox.Keep)
 	subscriptions, owed, err := s.keeper.Unfetched(since)
 	if err != nil {
 		return fmt.Errorf("receipts of before: %w", err)
 	}
-	tenants := map[string]int{}
-	for i, name := range s.cfg.Intake.Tenants {
-		tenants[name] = i
-	}
 	back := 0
 	for _, r := range subscriptions {
-		if tenant, ok := tenants[r.Tenant]; ok {
+		if tenant, ok := book.Tenant(r.Tenant); ok {
 			_, _, _, _ = room.Declare(s.now(), tenant, mailbox.Spec{Name: r.Receipt}, false) // one there is none too many
 		}
 	}
 	for _, p := range owed {
-		tenant, ok := tenants[p.Tenant]
+		tenant, ok := book.Tenant(p.Tenant)
 		if !ok {
 			continue
 		}
