--- a/cmd/whinrun/main.go
+++ b/cmd/whinrun/main.go
@@ -20,6 +20,7 @@
 
 var cli struct {
 	Serve     serveCmd     `cmd:"" help:"Run the dispatcher."`
+	Node      nodeCmd      `cmd:"" help:"Run the dispatcher on the platform: all is told by EDGE_CONFIG and its kin."`
 	Check     checkCmd     `cmd:"" help:"Say what is wrong with a settings file, a line each; exit 2 if anything is."`
 	Audit     auditCmd     `cmd:"" help:"Look into the trail of all messages, and check it."`
 	Receipt   receiptCmd   `cmd:"" help:"Check signed receipts."`
--- a/control/api.go
+++ b/control/api.go
@@ -117,15 +117,19 @@
 
 // Kinds of event. The fields each one uses are in brackets.
 const (
-	Arrival   EventKind = iota + 1 // a new message [Message Class Tenant Dest Key Grace]
-	Outcome                        // an attempt ended [Message Attempt Endpoint Result Lag Closed Wait Report]
-	Started                        // a streamed answer began [Message Attempt Endpoint Lag]
-	Withdrawn                      // nobody wants the message any more [Message]
-	Tick                           // a timer came due [Mark]
-	Probed                         // a probe ended [Endpoint Result Lag Report]
-	List                           // the endpoint list [ListKind Entries]
-	NoteFrom                       // a note of another dispatcher [Content]
-	Closing                        // this dispatcher stops: no message may take longer than that from now [Grace]
+	// Arrival is a new message [Message Class Tenant Dest Key Grace], or one that a process before this had taken on
+	// [also Attempt: attempts made; Doubt: one of them may have run, the first such was sent Lag ago to Zone].
+	Arrival   EventKind = iota + 1
+	Outcome             // an attempt ended [Message Attempt Endpoint Result Lag Closed Wait Report]
+	Started             // a streamed answer began [Message Attempt Endpoint Lag]
+	Withdrawn           // nobody wants the message any more [Message]
+	Tick                // a timer came due [Mark]
+	Probed              // a probe ended [Endpoint Result Lag Report]
+	List                // the endpoint list [ListKind Entries]
+	NoteFrom            // a note of another dispatcher [Content]
+	// Closing: this dispatcher stops, no message may take longer than Grace from now; Kept: what is held then is kept
+	// for the next process and needs no answer.
+	Closing
 )
 
 // Result is how an attempt or a probe ended.
@@ -188,6 +192,9 @@
 	Result   Result
 	Closed   bool // the message has ended
 	Lag      Time
+	Doubt    bool
+	Zone     int
+	Kept     bool
 	Wait     Time // told wait, 0 if none
 	Report   []float32
 	Mark     uint64
--- a/control/control.go
+++ b/control/control.go
@@ -190,6 +190,7 @@
 	d.count++
 	m := &message{id: e.Message, class: c, dest: d.dest(e.Dest), arrived: d.count, deadline: d.now + e.Grace}
 	m.born = m.deadline - c.Deadline
+	d.resume(m, e)
 	m.over = d.overShare(e.Tenant)
 	m.lane = 2 * e.Class
 	if m.over {
@@ -209,6 +210,9 @@
 			d.keys[e.Key] = k
 		}
 		m.key = k
+		if m.doubt {
+			k.rest = d.now + d.set.SettleAfterDoubt
+		}
 		k.queue = append(k.queue, m)
 		d.turn(k)
 		return
@@ -216,6 +220,19 @@
 	d.hold(m)
 }
 
+// resume takes what a process that ended had done for a message: attempts count, doubt binds from when it
+// began, the key rests as after a reset. Guards against second effects after crashes; it hurts where the
+// attempt never ran.
+func (d *Dispatcher) resume(m *message, e *Event) {
+	if m.tries = e.Attempt; !e.Doubt {
+		return
+	}
+	m.doubt, m.doubtAt, m.doubtZone = true, d.now-e.Lag, e.Zone
+	if over := m.doubtAt + m.class.Window - d.set.Tick - d.now; m.class.Effect == Guarded && over > 0 {
+		d.out = append(d.out, Action{Kind: Timer, After: over, Mark: uint64(m.id) + 1})
+	}
+}
+
 // overShare tells whether a tenant now sends more than its share, measured against what comes here.
 func (d *Dispatcher) overShare(t int) bool {
 	d.all.add(d.now, 1)
@@ -269,7 +286,12 @@
 
 // closing cuts the time of all that is held, for a dispatcher that stops: each has its answer before that.
 // Guards against leaving clients without one. It could hurt by refusing what would soon have been served.
-func (d *Dispatcher) closing(in Time) {
+// Where what is held is kept for the next process, only calls that may not end in time are not begun.
+func (d *Dispatcher) closing(in Time, kept bool) {
+	if kept {
+		d.stopAt = d.now + in
+		return
+	}
 	for _, id := range slices.Sorted(maps.Keys(d.msgs)) {
 		if m := d.msgs[id]; d.now+in < m.deadline && !m.ended {
 			m.deadline = d.now + in
@@ -427,6 +449,8 @@
 		return false
 	case d.now+d.set.Tick >= m.deadline || ep.health != Ready || d.now < ep.pace.wait:
 		return false
+	case d.stopAt > 0 && d.now+d.silence(ep.dest) > d.stopAt:
+		return false
 	case m.key != nil && (m.key.queue[0] != m || m.tries == 0 && d.now < m.key.rest):
 		return false
 	case !m.doubt || c.Effect == Free:
--- a/control/state.go
+++ b/control/state.go
@@ -16,6 +16,7 @@
 	rng                       uint64
 	aim                       Time // the least aim of a class
 	now, wake, tidied, noteAt Time
+	stopAt                    Time // this process ends then and its successor goes on, 0 if not known
 	askAt, askDue, askGap     Time // next asking for the list; its timer; pause after the next failure
 	out                       []Action
 	msgs                      map[MessageID]*message
@@ -676,7 +677,7 @@
 		d.list(e)
 		d.listed(e.ListKind)
 	case Closing:
-		d.closing(e.Grace)
+		d.closing(e.Grace, e.Kept)
 	}
 }
 
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -48,6 +48,8 @@
 	Key     uint64       // order key, 0 is none
 	Life    control.Time // time until it is given up, at most the deadline of its class
 	Taken   control.Time // when the engine took it
+	Came    control.Time // when its sender's request was whole, 0 where Life counts from the round that takes it
+	Name    string       // id that its sender gave it, where the protocol has one
 	Repeat  string       // key by which the partner drops repeats; empty: the message's id stands in
 	Topic   string
 	Urgency string
@@ -57,25 +59,56 @@
 	Body    []byte
 	Receipt string // subscription that gets the final answer, where its sender does not wait for it; for the Trail
 
+	Before Before // what was done for it by a process that ended
+
 	Origin Origin
 	Tag    uint64 // for the Origin
 }
 
+// Before is what became of a message before this process had it.
+type Before struct {
+	Restored bool
+	Tries    int          // attempts made
+	Doubt    bool         // one of them may have run ...
+	Ago      control.Time // ... the first such was sent so long ago ...
+	Zone     int          // ... to this zone
+}
+
+// Taker is an Origin whose sender hears that its message is taken on before its end is known.
+type Taker interface {
+	Origin
+	Taken(m *Message) // on the engine's goroutine; before Final, unless the round that took the message ended it
+}
+
+// Ledger records what must outlive the process. It is called on the engine's goroutine, each time before the promise
+// that rests on it: Take before the sender hears that the message is taken on, Out before an attempt leaves.
+type Ledger interface {
+	Take(m *Message, due control.Time) error // an error: the message is refused
+	Out(call []*Attempt) error               // an error: the call is not made
+	Back(a *Attempt, ran bool)               // an attempt ended, its message did not; ran: it may have run
+	Over(m *Message, a *Answer)              // a message ended; a is nil where it was withdrawn
+}
+
+// Place is what the list says of where an endpoint belongs.
+type Place struct{ Dest, Kind, Zone int }
+
 // Attempt is one attempt that a back end is to make.
 type Attempt struct {
 	Seq      uint64 // names it towards the back end
 	Msg      *Message
 	N        int // 0 is the first
 	Endpoint control.Endpoint
+	Place    Place
 	Worth    float64      // of its message, as its class has it
 	Due      control.Time // it is given up then, at the latest
 	Sent     control.Time
 }
 
-// Back carries attempts out. Its methods are called on the engine's goroutine and must not block. For each Start
-// exactly one End comes back as an input, and soon after an Abandon.
+// Back carries attempts out. Its methods are called on the engine's goroutine and must not block. For each attempt of a
+// Start exactly one End comes back as an input, and soon after an Abandon.
 type Back interface {
-	Start(a *Attempt)
+	Start(call []*Attempt)            // several where the kind of destination takes several messages in a call
+	Unsend(a *Attempt)                // give up with the end Unsent, if no connection has it yet
 	Abandon(a *Attempt, kind EndKind) // give up: OutOfTime or CalledOff, unless another end is on its way
 	CloseIdle(ep control.Endpoint)    // close idle connections to it
 }
@@ -92,7 +125,8 @@
 	Withdraw control.MessageID
 	End      *End
 	List     *List
-	Stop     control.Time // no message may take longer than this from now
+	Stop     control.Time // no message may take longer than this from now ...
+	Kept     bool         // ... or, where a ledger keeps them, no call
 }
 
 // List is news of the endpoint list.
@@ -114,7 +148,10 @@
 
 // Policy is what the engine must know of a message beside the module's settings.
 type Policy struct {
-	Trail    Trail // nil for none
+	Trail    Trail             // nil for none
+	Ledger   Ledger            // nil for none
+	Judge    func(End) Verdict // what ends mean, nil for push gateways (see Judge)
+	CallSize int               // bytes of bodies that one call of several messages may carry, 0 for any
 	Settings control.Settings
 	OwnPath  []bool // for each kind of destination: paths belong to messages (see Judge)
 }
@@ -138,6 +175,7 @@
 	due     control.Time
 	tries   int
 	ended   bool
+	fresh   bool // its sender has not heard yet that it is taken on
 	out     *Attempt
 	lastWhy string
 	status  int
@@ -154,7 +192,10 @@
 	seq    uint64
 	msgs   map[control.MessageID]*held
 	out    map[uint64]*Attempt
-	kinds  map[control.Endpoint]int
+	places map[control.Endpoint]Place
+	fresh  []*held
+	calls  [][]*Attempt    // of this round, not started yet
+	later  []control.Event // for the next round
 	timers timers
 	stale  int // timers of messages that are over
 	events []control.Event
@@ -169,7 +210,7 @@
 		return nil, fmt.Errorf("engine: %w", err)
 	}
 	return &Core{pol: p, mod: mod, back: back, lists: lists, log: log, msgs: map[control.MessageID]*held{}, out: map[uint64]*Attempt{},
-		kinds: map[control.Endpoint]int{}}, nil
+		places: map[control.Endpoint]Place{}}, nil
 }
 
 // Stats returns the counts so far.
@@ -191,19 +232,49 @@
 func (c *Core) Round(now control.Time, in []Input) {
 	c.now = now
 	c.stats.Rounds++
-	c.events = c.events[:0]
+	c.events = append(c.events[:0], c.later...)
+	c.later = c.later[:0]
 	for i := range in {
 		c.input(&in[i])
 	}
 	c.due()
+	told := len(c.events)
 	c.acts = c.mod.Step(now, c.events, c.acts[:0])
 	for i := range c.acts {
 		c.act(&c.acts[i])
 	}
+	c.start()
+	for _, h := range c.fresh {
+		c.promise(h)
+	}
+	clear(c.fresh)
+	c.fresh = c.fresh[:0]
+	c.later = append(c.later, c.events[told:]...) // ends of calls that could not be made
 	clear(c.events)
 	c.compact()
 }
 
+// promise tells a message's sender that it is taken on, once that is on record. It is false where the message can't be
+// kept: then it is refused.
+func (c *Core) promise(h *held) bool {
+	if !h.fresh || h.ended {
+		return !h.ended
+	}
+	h.fresh = false
+	if l := c.pol.Ledger; l != nil && !h.msg.Before.Restored {
+		if err := l.Take(h.msg, h.due); err != nil {
+			c.later = append(c.later, control.Event{Kind: control.Withdrawn, Message: h.msg.ID})
+			h.fresh = true // nothing to take back
+			c.answer(h, Answer{Final: Refused, Wait: control.Second, Reason: err.Error()})
+			return false
+		}
+	}
+	if t, ok := h.msg.Origin.(Taker); ok {
+		t.Taken(h.msg)
+	}
+	return true
+}
+
 func (c *Core) input(in *Input) {
 	switch {
 	case in.Submit != nil:
@@ -213,23 +284,30 @@
 	case in.List != nil:
 		c.list(in.List)
 	case in.Stop > 0:
-		c.events = append(c.events, control.Event{Kind: control.Closing, Grace: in.Stop})
+		c.events = append(c.events, control.Event{Kind: control.Closing, Grace: in.Stop, Kept: in.Kept})
 	default:
 		c.withdraw(in.Withdraw)
 	}
 }
 
 func (c *Core) submit(m *Message) {
-	life := min(m.Life, c.pol.Settings.Classes[m.Class].Deadline)
+	life := m.Life
+	if m.Came > 0 { // a round may be late
+		life = max(0, life-(c.now-m.Came))
+	}
+	life = min(life, c.pol.Settings.Classes[m.Class].Deadline)
 	m.Taken = c.now
-	c.msgs[m.ID] = &held{msg: m, due: c.now + life}
+	b := m.Before
+	h := &held{msg: m, due: c.now + life, fresh: true, tries: b.Tries}
+	c.msgs[m.ID] = h
+	c.fresh = append(c.fresh, h)
 	c.stats.Taken++
 	c.stats.Open++
 	if c.pol.Trail != nil {
 		c.pol.Trail.Accepted(m)
 	}
 	c.events = append(c.events, control.Event{Kind: control.Arrival, Message: m.ID, Class: m.Class, Tenant: m.Tenant,
-		Dest: m.Dest, Key: m.Key, Grace: life})
+		Dest: m.Dest, Key: m.Key, Grace: life, Attempt: b.Tries, Doubt: b.Doubt, Lag: b.Ago, Zone: b.Zone})
 }
 
 func (c *Core) withdraw(id control.MessageID) {
@@ -238,6 +316,7 @@
 		return
 	}
 	c.over(h)
+	c.record(h, nil)
 	c.stats.Withdrawn++
 	if c.pol.Trail != nil {
 		c.pol.Trail.Withdrawn(h.msg)
@@ -247,7 +326,7 @@
 
 func (c *Core) list(l *List) {
 	for i, e := range l.Entries {
-		c.kinds[e.Endpoint] = e.Kind
+		c.listed(&e)
 		if c.pol.Trail != nil && l.Kind == control.ListDelta {
 			c.pol.Trail.Learned(&l.Entries[i])
 		}
@@ -255,6 +334,36 @@
 	c.events = append(c.events, control.Event{Kind: control.List, ListKind: l.Kind, Entries: l.Entries})
 }
 
+// listed keeps what a line of the list says; what was not written to an endpoint that wants nothing new never is.
+func (c *Core) listed(e *control.Entry) {
+	if e.Health == control.Gone {
+		delete(c.places, e.Endpoint)
+		c.back.CloseIdle(e.Endpoint)
+	} else {
+		c.places[e.Endpoint] = Place{e.Dest, e.Kind, e.Zone}
+	}
+	if e.Health != control.Ready {
+		c.unsend(func(a *Attempt) bool { return a.Endpoint == e.Endpoint })
+	}
+}
+
+func (c *Core) unsend(which func(*Attempt) bool) {
+	for _, a := range c.out {
+		if which(a) {
+			c.back.Unsend(a)
+		}
+	}
+}
+
+// waits keeps what a partner told: what was not written to it yet is taken back, to go when the wait is over.
+func (c *Core) waits(of *Attempt) {
+	k := of.Place.Kind
+	apart := k >= 0 && k < len(c.pol.Settings.Kinds) && c.pol.Settings.Kinds[k].RoutesApart
+	c.unsend(func(a *Attempt) bool {
+		return a.Endpoint == of.Endpoint || !apart && a.Place.Dest == of.Place.Dest
+	})
+}
+
 // end takes the end of an attempt: the answer leaves at once where this is it.
 func (c *Core) end(e *End) {
 	a := c.out[e.Seq]
@@ -264,7 +373,7 @@
 	}
 	delete(c.out, e.Seq)
 	h := c.msgs[a.Msg.ID]
-	v := Judge(*e, c.ownPath(a.Endpoint))
+	v := c.judge(a, e)
 	h.out = nil
 	h.status, h.lastWhy = e.Status, v.Why
 	if e.Detail != "" {
@@ -280,14 +389,23 @@
 		}
 		c.answer(h, Answer{Final: kind})
 	}
+	if l := c.pol.Ledger; l != nil && !h.ended {
+		l.Back(a, v.Ran)
+	}
+	if e.Wait > 0 {
+		c.waits(a)
+	}
 	c.events = append(c.events, control.Event{Kind: control.Outcome, Message: a.Msg.ID, Attempt: a.N, Endpoint: a.Endpoint,
-		Result: v.Result, Closed: h.ended, Lag: c.now - a.Sent, Wait: e.Wait})
+		Result: v.Result, Closed: h.ended, Lag: c.now - a.Sent, Wait: e.Wait, Report: e.Report})
 	c.forget(h)
 }
 
-func (c *Core) ownPath(ep control.Endpoint) bool {
-	k := c.kinds[ep]
-	return k >= 0 && k < len(c.pol.OwnPath) && c.pol.OwnPath[k]
+func (c *Core) judge(a *Attempt, e *End) Verdict {
+	if c.pol.Judge != nil {
+		return c.pol.Judge(*e)
+	}
+	k := a.Place.Kind
+	return Judge(*e, k >= 0 && k < len(c.pol.OwnPath) && c.pol.OwnPath[k])
 }
 
 // answer gives the one final answer.
@@ -307,12 +425,20 @@
 		c.stats.Failed++
 	}
 	c.over(h)
+	c.record(h, &a)
 	if c.pol.Trail != nil {
 		c.pol.Trail.Answered(h.msg, &a)
 	}
 	h.msg.Origin.Final(h.msg, a)
 }
 
+// record has the ledger take an end down, before anybody is told.
+func (c *Core) record(h *held, a *Answer) {
+	if c.pol.Ledger != nil && !h.fresh {
+		c.pol.Ledger.Over(h.msg, a)
+	}
+}
+
 func (c *Core) over(h *held) {
 	h.ended = true
 	c.stats.Open--
@@ -334,6 +460,7 @@
 	case control.Refuse, control.Fail:
 		c.finish(a)
 	case control.Cancel:
+		c.start()
 		if h := c.msgs[a.Message]; h != nil && h.out != nil && h.out.N == a.Attempt {
 			c.back.Abandon(h.out, CalledOff)
 		}
@@ -358,8 +485,11 @@
 		c.log.Fault(fmt.Sprintf("send of message %d, which is over or out", a.Message))
 		return
 	}
+	if !c.promise(h) {
+		return
+	}
 	c.seq++
-	at := &Attempt{Seq: c.seq, Msg: h.msg, N: h.tries, Endpoint: a.Endpoint, Due: h.due, Sent: c.now,
+	at := &Attempt{Seq: c.seq, Msg: h.msg, N: h.tries, Endpoint: a.Endpoint, Place: c.places[a.Endpoint], Due: h.due, Sent: c.now,
 		Worth: c.pol.Settings.Classes[h.msg.Class].Worth}
 	if a.After > 0 {
 		at.Due = min(at.Due, c.now+a.After)
@@ -372,7 +502,50 @@
 		c.pol.Trail.Started(at)
 	}
 	heap.Push(&c.timers, timer{at: at.Due, seq: at.Seq})
-	c.back.Start(at)
+	c.join(at)
+}
+
+// join puts an attempt into a call of this round to the same endpoint that has room, or begins one.
+func (c *Core) join(a *Attempt) {
+	most := 1
+	if k := a.Place.Kind; k >= 0 && k < len(c.pol.Settings.Kinds) {
+		most = max(1, c.pol.Settings.Kinds[k].Batch)
+	}
+	for i, call := range c.calls {
+		if call[0].Endpoint == a.Endpoint && len(call) < most && c.fits(call, a) {
+			c.calls[i] = append(call, a)
+			return
+		}
+	}
+	c.calls = append(c.calls, []*Attempt{a})
+}
+
+// lineSize is reckoned for each message of a call beside its body.
+const lineSize = 256
+
+func (c *Core) fits(call []*Attempt, a *Attempt) bool {
+	size := len(a.Msg.Body) + lineSize
+	for _, o := range call {
+		size += len(o.Msg.Body) + lineSize
+	}
+	return c.pol.CallSize == 0 || size <= c.pol.CallSize
+}
+
+// start hands the calls of this round over. One that can't go on record is not made.
+func (c *Core) start() {
+	for _, call := range c.calls {
+		if l := c.pol.Ledger; l != nil {
+			if err := l.Out(call); err != nil {
+				for _, a := range call {
+					c.end(&End{Seq: a.Seq, Kind: Unsent, Detail: err.Error()})
+				}
+				continue
+			}
+		}
+		c.back.Start(call)
+	}
+	clear(c.calls)
+	c.calls = c.calls[:0]
 }
 
 func (c *Core) finish(a *control.Action) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -63,7 +63,15 @@
 	w.pending = slices.Insert(w.pending, i, in)
 }
 
-func (w *world) Start(a *Attempt) {
+func (w *world) Unsend(*Attempt) {}
+
+func (w *world) Start(call []*Attempt) {
+	for _, a := range call {
+		w.start(a)
+	}
+}
+
+func (w *world) start(a *Attempt) {
 	w.trace = append(w.trace, fmt.Sprint(w.now, " send ", a.Msg.ID, a.N, a.Endpoint))
 	if w.answers[a.Msg.ID] > 0 {
 		w.t.Errorf("message %d is sent after its final answer", a.Msg.ID)
@@ -305,7 +313,15 @@
 
 type sink struct{ ends []Input }
 
-func (s *sink) Start(a *Attempt) {
+func (s *sink) Unsend(*Attempt) {}
+
+func (s *sink) Start(call []*Attempt) {
+	for _, a := range call {
+		s.start(a)
+	}
+}
+
+func (s *sink) start(a *Attempt) {
 	s.ends = append(s.ends, Input{End: &End{Seq: a.Seq, Kind: Answered, Status: 201}})
 }
 func (s *sink) Abandon(*Attempt, EndKind)  {}
--- a/internal/engine/verdict.go
+++ b/internal/engine/verdict.go
@@ -32,6 +32,7 @@
 	Kind   EndKind
 	Status int          // HTTP status of the response
 	Wait   control.Time // told by Retry-After, 0 where none was
+	Report []float32    // load report, where settings have them
 	Detail string
 }
 
--- /dev/null
+++ b/internal/ledger/book.go
@@ -0,0 +1,147 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Entry is a message that is owed its end.
+type Entry struct {
+	Name   string `cbor:"1,keyasint"`            // id that its client gave it
+	Class  string `cbor:"2,keyasint"`            // by name: another process may number them otherwise
+	Tenant string `cbor:"3,keyasint,omitempty"`  // by name
+	Dest   int    `cbor:"4,keyasint"`            // number of its destination
+	Due    int64  `cbor:"5,keyasint"`            // Unix time at which its time is over, in microseconds
+	Key    string `cbor:"6,keyasint,omitempty"`  // by which partners drop repeats
+	Order  uint64 `cbor:"7,keyasint,omitempty"`  // key by which its class takes turns, 0 is none
+	Body   []byte `cbor:"8,keyasint,omitempty"`  //
+	Tries  int    `cbor:"9,keyasint,omitempty"`  // attempts made, the one that is out among them
+	Doubt  int64  `cbor:"10,keyasint,omitempty"` // Unix time of the first that may have run, in microseconds, 0 for none
+	Zone   int    `cbor:"11,keyasint,omitempty"` // where that went
+	Out    int64  `cbor:"12,keyasint,omitempty"` // Unix time of the attempt that is out, in microseconds, 0 for none ...
+	OutTo  int    `cbor:"13,keyasint,omitempty"` // ... and its zone
+
+	seq  uint64
+	size int
+}
+
+// Notice is an end that the platform has not acknowledged yet.
+type Notice struct {
+	Name     string `cbor:"1,keyasint"`
+	Deferred bool   `cbor:"2,keyasint,omitempty"` // handed back; else undeliverable
+	Again    int64  `cbor:"3,keyasint,omitempty"` // Deferred: come back after so many milliseconds, 0 where nothing is known
+
+	seq uint64
+}
+
+// record is one line of the ledger; exactly one of its parts is set.
+type record struct {
+	Take   *Entry   `cbor:"1,keyasint,omitempty"`
+	Out    *sent    `cbor:"2,keyasint,omitempty"`
+	Back   *back    `cbor:"3,keyasint,omitempty"`
+	Over   string   `cbor:"4,keyasint,omitempty"` // delivered, or nobody's any more
+	Notice *Notice  `cbor:"5,keyasint,omitempty"` // ended by this
+	Acked  []string `cbor:"6,keyasint,omitempty"`
+	Form   int      `cbor:"7,keyasint,omitempty"` // first line: version of this form
+}
+
+type sent struct {
+	Names []string `cbor:"1,keyasint"`
+	At    int64    `cbor:"2,keyasint"`
+	Zone  int      `cbor:"3,keyasint,omitempty"`
+}
+
+type back struct {
+	Name string `cbor:"1,keyasint"`
+	Ran  bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// overhead is reckoned for each entry beside its record: what it may grow by, and the lines around it.
+const overhead, noticeSize = 64, 128
+
+// book is what the records add up to: what a process that starts now would owe. It is free of I/O.
+type book struct {
+	owed    map[string]*Entry
+	notices map[string]*Notice
+	seq     uint64
+	live    int64 // bytes that a compacted ledger takes, at most
+}
+
+func newBook() *book { return &book{owed: map[string]*Entry{}, notices: map[string]*Notice{}} }
+
+// apply takes one record; size is that of its line. Records that name nothing known change nothing.
+func (b *book) apply(r *record, size int) {
+	switch {
+	case r.Take != nil:
+		b.drop(r.Take.Name)
+		e := *r.Take
+		b.seq++
+		e.seq, e.size = b.seq, size+overhead
+		b.owed[e.Name] = &e
+		b.live += int64(e.size)
+	case r.Out != nil:
+		for _, name := range r.Out.Names {
+			if e := b.owed[name]; e != nil {
+				e.Tries++
+				e.Out, e.OutTo = r.Out.At, r.Out.Zone
+			}
+		}
+	case r.Back != nil:
+		e := b.owed[r.Back.Name]
+		if e == nil || e.Out == 0 {
+			return
+		}
+		if r.Back.Ran && e.Doubt == 0 {
+			e.Doubt, e.Zone = e.Out, e.OutTo
+		}
+		e.Out = 0
+	case r.Over != "":
+		b.drop(r.Over)
+	case r.Notice != nil:
+		b.drop(r.Notice.Name)
+		n := *r.Notice
+		b.seq++
+		n.seq = b.seq
+		b.notices[n.Name] = &n
+		b.live += noticeSize
+	default:
+		for _, name := range r.Acked {
+			if b.notices[name] != nil {
+				delete(b.notices, name)
+				b.live -= noticeSize
+			}
+		}
+	}
+}
+
+func (b *book) drop(name string) {
+	if e := b.owed[name]; e != nil {
+		b.live -= int64(e.size)
+		delete(b.owed, name)
+	}
+}
+
+// entries are the messages owed an end, in the order in which they were taken.
+func (b *book) entries() []*Entry {
+	return slices.SortedFunc(maps.Values(b.owed), func(x, y *Entry) int { return cmp.Compare(x.seq, y.seq) })
+}
+
+func (b *book) pending() []*Notice {
+	return slices.SortedFunc(maps.Values(b.notices), func(x, y *Notice) int { return cmp.Compare(x.seq, y.seq) })
+}
+
+// rules decide what fits. Of the room that a folder has, what is owed may take livePart at most: a compaction needs
+// the old file and the new one beside each other, and between two of them there must be room for lines.
+type rules struct{ room int64 }
+
+// livePart is of the room: with more, compactions follow each other faster than lines; with less, less can be held.
+const livePart = 0.4
+
+// takes tells whether a line of size n may be added to what is owed.
+func (r rules) takes(live int64, n int) bool {
+	return float64(live)+float64(n+overhead) <= livePart*float64(r.room)
+}
+
+// compacts tells whether the file is to be written anew before a line of size n is added.
+func (r rules) compacts(live, file int64, n int) bool { return file+int64(n)+live > r.room }
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"whinrun/control"
 	"whinrun/internal/engine"
@@ -13,62 +14,61 @@
 
 func (p *Pool) elapsed() time.Duration { return engine.Elapsed(p.clock) }
 
-// OnOpen starts HTTP/2 on a connection. It carries attempts only when the peer's SETTINGS are here: an endpoint that
-// takes connections and says nothing then costs no doubt.
+// OnOpen starts the protocol on a connection.
 func (p *Pool) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
 	c := gc.Context().(*conn)
 	c.gc = gc
-	c.h = h2.NewClient(p.cfg.H2, p.elapsed())
+	c.l = p.proto.line(c, p.elapsed())
 	p.opened.Add(1)
 	p.mu.Lock()
 	p.active[c] = struct{}{}
 	c.site.conns = append(c.site.conns, c)
 	p.mu.Unlock()
-	return c.h.Output(), gnet.None
+	if st := c.l.state(); st.settled {
+		c.ready(st.limit)
+	}
+	return c.l.output(), gnet.None
 }
 
 // OnTraffic takes bytes of the peer, and what was put into the inbox.
 func (p *Pool) OnTraffic(gc gnet.Conn) gnet.Action {
 	c, ok := gc.Context().(*conn)
-	if !ok || c.h == nil {
+	if !ok || c.l == nil {
 		return gnet.None
 	}
 	now := p.elapsed()
 	if gc.InboundBuffered() > 0 {
 		buf, _ := gc.Next(-1)
-		events, err := c.h.Receive(now, buf)
-		for i := range events {
-			c.event(&events[i])
-		}
-		if err != nil {
+		if err := c.l.receive(now, buf); err != nil {
 			return c.broken(err)
 		}
 	}
 	c.work(now)
-	if err := c.h.Check(now); err != nil {
+	if err := c.l.check(now); err != nil {
 		return c.broken(err)
 	}
 	return c.flush()
 }
 
 func (c *conn) flush() gnet.Action {
-	if out := c.h.Output(); len(out) > 0 {
+	if out := c.l.output(); len(out) > 0 {
 		_, _ = c.gc.Write(out) // a failed write shows as OnClose
 	}
+	st := c.l.state()
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !c.h.Settled() || c.h.Open() > 0 {
+	if !st.settled || st.busy {
 		p.active[c] = struct{}{}
 	} else {
 		delete(p.active, c)
 	}
-	if c.h.Settled() {
-		c.limit = min(p.cfg.Streams, c.h.Room()+c.h.Open())
-		c.usable = c.usable && !c.h.Done()
+	if st.settled {
+		c.limit = st.limit
+		c.usable = c.usable && !st.done
 		p.refill(c.site)
 	}
-	if c.shut && c.load == 0 || c.h.Done() {
+	if c.shut && c.load == 0 || st.done {
 		c.usable = false
 		return gnet.Close
 	}
@@ -77,7 +77,7 @@
 
 // broken ends a connection on which the peer broke the protocol or a time limit.
 func (c *conn) broken(err error) gnet.Action {
-	if out := c.h.Output(); len(out) > 0 {
+	if out := c.l.output(); len(out) > 0 {
 		_, _ = c.gc.Write(out)
 	}
 	kind := engine.Malformed
@@ -104,7 +104,8 @@
 	return gnet.None
 }
 
-// lose takes a connection out of its pool, and ends all that was on it: what was never written has not run.
+// lose takes a connection out of its pool, and ends all that was on it. What was never written has not run: it waits
+// for another connection, once.
 func (c *conn) lose(kind engine.EndKind, why string) {
 	p := c.pool
 	p.mu.Lock()
@@ -134,26 +135,23 @@
 	if !found {
 		return
 	}
+	// The peer learns that nothing is waited for before the attempts are reported: another may follow at once.
+	_ = unix.Shutdown(c.gc.Fd(), unix.SHUT_RDWR)
 	if !stood {
 		p.noConnection(c.site, errors.New("no HTTP/2 on the connection: "+why))
 	}
-	for id, t := range c.tasks {
-		delete(c.tasks, id)
-		k := kind
-		if t.headers && kind == engine.ResetUnanswered {
-			k = engine.ResetMidAnswer
+	c.l.lose(kind, why)
+	for _, it := range inbox {
+		if it.start != nil {
+			c.again(it.start, why)
 		}
-		p.end(t, engine.End{Kind: k, Detail: why})
-	}
-	for _, t := range inbox {
-		p.end(t, engine.End{Kind: engine.NotConnected, Detail: why}) // those written have ended above
 	}
 	p.mu.Lock()
 	p.grow(c.site)
 	p.mu.Unlock()
 }
 
-// work does what is in the inbox: attempts to send, attempts to give up.
+// work does what is in the inbox: calls to start, attempts to give up.
 func (c *conn) work(now time.Duration) {
 	p := c.pool
 	p.mu.Lock()
@@ -161,118 +159,99 @@
 	c.inbox = nil
 	shut := c.shut && c.load == 0
 	p.mu.Unlock()
-	for _, t := range inbox {
+	for _, it := range inbox {
+		if it.start != nil {
+			c.start(it.start, now)
+		} else if p.waits(it.give) {
+			c.l.giveUp(now, it.give)
+		}
+	}
+	if shut {
+		c.l.shut(now)
+	}
+}
+
+// waits tells whether an attempt has no end yet.
+func (p *Pool) waits(t *task) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !t.ended
+}
+
+// start writes a call, without the attempts that were given up or ran out of time meanwhile.
+func (c *conn) start(k *call, now time.Duration) {
+	p := c.pool
+	var alive []*task
+	for _, t := range k.tasks {
 		p.mu.Lock()
-		given, kind, ended := t.given, t.kind, t.ended
+		given, ended := t.given, t.ended
 		p.mu.Unlock()
 		switch {
 		case ended:
-		case given && t.stream == 0:
-			p.end(t, engine.End{Kind: engine.Unsent})
 		case given:
-			c.h.Reset(now, t.stream, h2.Cancel)
-			delete(c.tasks, t.stream)
-			p.end(t, engine.End{Kind: kind})
-		case t.stream == 0:
-			c.start(t, now)
+			p.end(t, engine.End{Kind: engine.Unsent})
+		case time.Duration(t.a.Due)*time.Microsecond <= now:
+			p.end(t, engine.End{Kind: engine.Unsent, Detail: "its time is over"})
+		default:
+			alive = append(alive, t)
 		}
 	}
-	if shut {
-		c.h.GoAway(now, h2.NoError)
-	}
-}
-
-func (c *conn) start(t *task, now time.Duration) {
-	left := time.Duration(t.a.Due)*time.Microsecond - now
-	if left <= 0 {
-		c.pool.end(t, engine.End{Kind: engine.Unsent, Detail: "its time is over"})
+	if len(alive) == 0 {
 		return
 	}
-	id, err := c.h.Request(now, c.pool.speech.Request(t.a, left), t.a.Msg.Body)
-	switch {
+	k.started = true
+	switch err := c.l.start(now, k, alive); {
 	case err == nil:
-		t.stream = id
-		c.tasks[id] = t
-	case errors.Is(err, h2.ErrTooLarge):
-		c.pool.end(t, engine.End{Kind: engine.TooLargeForPeer, Detail: err.Error()})
-	default: // the limit fell, or GOAWAY came, since it was put here: it waits for room again
-		c.again(t)
+	case errors.Is(err, errNoRoom): // the limit fell, or the peer is closing, since it was put here
+		k.started = false
+		c.again(k, err.Error())
+	default:
+		for _, t := range alive {
+			p.end(t, engine.End{Kind: engine.TooLargeForPeer, Detail: err.Error()})
+		}
 	}
 }
 
-// again puts an attempt that was not sent back among those that wait.
-func (c *conn) again(t *task) {
+// again puts a call that was not written back among those that wait, once. Guards against a peer that takes
+// connections and drops them: a call must not go round for ever.
+func (c *conn) again(k *call, why string) {
 	p := c.pool
+	st := c.l.state()
 	p.mu.Lock()
-	c.limit = min(c.limit, c.h.Room()+c.h.Open())
-	c.usable = c.usable && c.h.Room()+c.h.Open() > 0
+	c.limit = min(c.limit, st.limit)
+	c.usable = c.usable && st.limit > 0 && !st.done
+	if k.left == 0 { // its attempts have their ends, and took it off the connection
+		p.mu.Unlock()
+		return
+	}
 	if c.load--; c.load == 0 {
 		c.idles()
 	}
-	t.conn = nil
-	var failed []*task
-	if t.given {
-		failed = []*task{t}
-	} else if !p.place(t) {
-		t.site.pending = append(t.site.pending, t)
-		p.grow(t.site)
-	}
-	p.mu.Unlock()
-	p.fail(failed, "no connection has room")
-}
-
-// event takes one event of the connection.
-func (c *conn) event(e *h2.Event) {
-	switch e.Kind {
-	case h2.Ready:
-		c.ready()
-		return
-	case h2.PeerGoAway:
-		c.away(e)
-		return
+	k.conn = nil
+	var given []*task
+	for _, t := range k.tasks {
+		if t.given && !t.ended {
+			given = append(given, t)
+		}
 	}
-	t := c.tasks[e.Stream]
-	if t == nil {
-		return
+	moved := k.moved
+	k.moved = true
+	if !moved && len(given) < k.left && !p.place(k) {
+		k.site.pending = append(k.site.pending, k)
+		p.grow(k.site)
 	}
-	switch e.Kind {
-	case h2.Headers:
-		t.fields, t.headers = e.Fields, true
-	case h2.Data:
-		if room := c.pool.cfg.MaxAnswer - len(t.body); room > 0 {
-			t.body = append(t.body, e.Data[:min(room, len(e.Data))]...)
-		}
-	case h2.StreamReset:
-		delete(c.tasks, e.Stream)
-		c.pool.end(t, resetEnd(t, e))
+	p.mu.Unlock()
+	if moved {
+		p.fail([]*call{k}, why)
 		return
 	}
-	if e.End {
-		delete(c.tasks, e.Stream)
-		c.proved = true
-		c.pool.end(t, c.pool.speech.Answer(t.a, t.fields, t.body))
-		if c.h.Wants(e.Stream) { // an early answer: the rest of our body is not wanted
-			c.h.Reset(c.pool.elapsed(), e.Stream, h2.NoError)
-		}
+	for _, t := range given {
+		p.end(t, engine.End{Kind: engine.Unsent})
 	}
 }
 
-// resetEnd tells what a reset of a stream proves.
-func resetEnd(t *task, e *h2.Event) engine.End {
-	end := engine.End{Kind: engine.ResetUnanswered, Detail: "RST_STREAM " + e.Code.String()}
-	switch {
-	case e.Local:
-		end.Kind, end.Detail = engine.Malformed, e.Reason
-	case t.headers:
-		end.Kind = engine.ResetMidAnswer
-	case e.Code == h2.RefusedStream:
-		end.Kind = engine.RefusedByStream
-	}
-	return end
-}
-
-// ready opens a connection for attempts.
-func (c *conn) ready() {
+// ready opens a connection for calls; limit is how many it carries.
+func (c *conn) ready(limit int) {
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -281,33 +260,12 @@
 	p.planner.Opened()
 	p.nudge()
 	c.site.busyTo = p.clock.Now() + busyFor
-	c.limit = min(p.cfg.Streams, c.h.Room())
+	c.limit = limit
 	c.idles()
 	p.refill(c.site)
 	p.grow(c.site)
 }
 
-// away takes a GOAWAY: streams above the last one named have not run and never will; those below run on.
-func (c *conn) away(e *h2.Event) {
-	p := c.pool
-	p.mu.Lock()
-	c.usable = false
-	p.mu.Unlock()
-	kind := engine.AwayUnseen
-	switch {
-	case e.Code != h2.NoError:
-		kind = engine.AwayAngry
-	case !c.proved:
-		kind = engine.AwayAtOnce
-	}
-	for id, t := range c.tasks {
-		if id > e.Last {
-			delete(c.tasks, id)
-			p.end(t, engine.End{Kind: kind, Detail: "GOAWAY " + e.Code.String()})
-		}
-	}
-}
-
 // OnTick looks after time limits: handshakes, windows held shut, idle connections. It runs beside the event loops and
 // only wakes connections.
 func (p *Pool) OnTick() (time.Duration, gnet.Action) {
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -83,7 +83,7 @@
 	ends = map[engine.EndKind]int{}
 	all := make(chan struct{}, n)
 	clock := engine.NewRealClock()
-	p, err := New(cfg, speech{peer(t)}, clock, func(e engine.End) {
+	p, err := New(cfg, NewHTTP2(speech{peer(t)}), clock, func(e engine.End) {
 		mu.Lock()
 		ends[e.Kind]++
 		mu.Unlock()
@@ -94,7 +94,7 @@
 	}
 	defer p.Close()
 	for i := range n {
-		p.Start(&engine.Attempt{Seq: uint64(i + 1), Msg: &engine.Message{}, Endpoint: control.Endpoint(i + 1), Due: clock.Now() + 60*control.Second})
+		p.Start([]*engine.Attempt{{Seq: uint64(i + 1), Msg: &engine.Message{}, Endpoint: control.Endpoint(i + 1), Due: clock.Now() + 60*control.Second}})
 	}
 	for range n {
 		<-all
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -1,5 +1,6 @@
-// Package outbound carries attempts out over HTTP/2 connections: a pool of connections for each endpoint, on gnet's
-// event loops. It decides nothing: whether, when and where to send is told; each attempt's end is reported once.
+// Package outbound carries attempts out: a pool of connections for each endpoint, on gnet's event loops. What is spoken
+// on them is a Protocol's: HTTP/2 (NewHTTP2), or HTTP/1.1 with one call at a time (NewHTTP1). It decides nothing:
+// whether, when and where to send is told; each attempt's end is reported once.
 package outbound
 
 import (
@@ -9,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,15 +26,41 @@
 	"whinrun/internal/opener"
 )
 
-// Speech turns attempts into requests and answers into ends, for the endpoint's kind of partner.
-type Speech interface {
-	// Address tells where an endpoint is; ok is false for one that was never listed.
+// Addresses tells where endpoints are; ok is false for one that was never listed.
+type Addresses interface {
 	Address(ep control.Endpoint) (addr netip.AddrPort, ok bool)
-	Request(a *engine.Attempt, left time.Duration) []h2.Field
-	// Answer makes a whole response into an end.
-	Answer(a *engine.Attempt, fields []h2.Field, body []byte) engine.End
 }
 
+// Protocol is what is spoken on the connections of a Pool.
+type Protocol interface {
+	Addresses
+	line(c *conn, now time.Duration) line
+	bulk() bool // the attempts of one Start go as one call; else each is a call
+}
+
+// line speaks the protocol of one connection, on its event loop only. It reports ends by pool.end.
+type line interface {
+	receive(now time.Duration, b []byte) error
+	check(now time.Duration) error
+	output() []byte
+	start(now time.Duration, k *call, tasks []*task) error // errNoRoom: the call waits for room again
+	giveUp(now time.Duration, t *task)
+	shut(now time.Duration) // it is closed next, idle
+	state() lineState
+	lose(kind engine.EndKind, why string) // the connection is gone: all that is out ends
+}
+
+// lineState is how a line stands.
+type lineState struct {
+	settled bool // it can carry calls
+	busy    bool // its time limits are to be looked at
+	done    bool // it is to be closed
+	limit   int  // calls that it can carry in all
+}
+
+// errNoRoom tells that a connection can't carry a call that was put on it.
+var errNoRoom = errors.New("no room on the connection")
+
 // Config bounds a Pool.
 type Config struct {
 	Loops          int           // event loops
@@ -49,7 +77,7 @@
 type Pool struct {
 	gnet.BuiltinEventEngine
 	cfg    Config
-	speech Speech
+	proto  Protocol
 	clock  engine.Clock
 	report func(engine.End)
 	client *gnet.Client
@@ -73,7 +101,7 @@
 	ep      control.Endpoint
 	addr    netip.AddrPort
 	conns   []*conn
-	pending []*task // attempts for which no connection has room
+	pending []*call // calls for which no connection has room
 	dialing int
 	wished  bool         // a connection more is wished for
 	busyTo  control.Time // counts as busy until then
@@ -82,13 +110,23 @@
 // busyFor is how long after its last connection an endpoint counts as busy to the planner.
 const busyFor = 60 * control.Second
 
-// task is one attempt. conn and gone are guarded by Pool.mu; the rest belongs to the event loop of conn.
-type task struct {
-	a       *engine.Attempt
+// call is what goes out together: one attempt, or several where the protocol has bulk calls. All fields but started
+// are guarded by Pool.mu.
+type call struct {
 	site    *site
 	conn    *conn // where it was put, nil while it is pending
-	ended   bool  // reported
-	given   bool  // it is to be given up ...
+	tasks   []*task
+	left    int  // tasks without an end
+	moved   bool // it lost the connection that it was put on before it was written
+	started bool // it was written; belongs to the event loop of conn
+}
+
+// task is one attempt. ended, given and kind are guarded by Pool.mu; the rest belongs to the event loop of its conn.
+type task struct {
+	a       *engine.Attempt
+	call    *call
+	ended   bool // reported
+	given   bool // it is to be given up ...
 	kind    engine.EndKind
 	stream  uint32
 	fields  []h2.Field
@@ -96,20 +134,24 @@
 	headers bool
 }
 
+// item is something for a connection's event loop: a call to start, or an attempt to give up.
+type item struct {
+	start *call
+	give  *task
+}
+
 // conn is one connection.
 type conn struct {
-	pool   *Pool
-	site   *site
-	gc     gnet.Conn
-	h      *h2.Conn // used on its event loop only
-	tasks  map[uint32]*task
-	proved bool // it has answered something
+	pool *Pool
+	site *site
+	gc   gnet.Conn
+	l    line // used on its event loop only
 
 	// Guarded by Pool.mu.
-	inbox  []*task // attempts to send, or to give up
-	shut   bool    // to be closed if idle
-	load   int     // attempts put on it and not ended
-	limit  int     // attempts that it can carry
+	inbox  []item
+	shut   bool // to be closed if idle
+	load   int  // calls put on it and not ended
+	limit  int  // calls that it can carry
 	usable bool
 	since  control.Time  // idle since
 	place  *list.Element // in Pool.idle
@@ -117,11 +159,10 @@
 }
 
 // New makes a Pool that reports ends to report, which must not block.
-func New(cfg Config, speech Speech, clock engine.Clock, report func(engine.End)) (*Pool, error) {
-	p := &Pool{cfg: cfg, speech: speech, clock: clock, report: report, sites: map[control.Endpoint]*site{},
+func New(cfg Config, proto Protocol, clock engine.Clock, report func(engine.End)) (*Pool, error) {
+	p := &Pool{cfg: cfg, proto: proto, clock: clock, report: report, sites: map[control.Endpoint]*site{},
 		tasks: map[uint64]*task{}, quit: make(chan struct{}), dials: make(chan *site), kick: make(chan struct{}, 1),
 		planner: opener.New(cfg.Opening), idle: list.New(), active: map[*conn]struct{}{}}
-	p.cfg.H2.Handshake = cfg.ConnectTimeout
 	var err error
 	p.client, err = gnet.NewClient(p, gnet.WithNumEventLoop(cfg.Loops), gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(logs.Quiet{}), gnet.WithLogLevel(logging.ErrorLevel))
@@ -150,46 +191,65 @@
 func (p *Pool) Connections() int { return int(p.opened.Load()) }
 
 // Start is engine.Back.
-func (p *Pool) Start(a *engine.Attempt) {
+func (p *Pool) Start(as []*engine.Attempt) {
+	if p.proto.bulk() {
+		p.begin(as)
+		return
+	}
+	for i := range as {
+		p.begin(as[i : i+1])
+	}
+}
+
+// begin starts one call.
+func (p *Pool) begin(as []*engine.Attempt) {
 	p.mu.Lock()
-	s := p.sites[a.Endpoint]
+	ep := as[0].Endpoint
+	s := p.sites[ep]
 	if s == nil {
-		addr, ok := p.speech.Address(a.Endpoint)
+		addr, ok := p.proto.Address(ep)
 		if !ok {
 			p.mu.Unlock()
-			p.report(engine.End{Seq: a.Seq, Kind: engine.NotConnected, Detail: "endpoint without an address"})
+			for _, a := range as {
+				p.report(engine.End{Seq: a.Seq, Kind: engine.NotConnected, Detail: "endpoint without an address"})
+			}
 			return
 		}
-		s = &site{ep: a.Endpoint, addr: addr}
-		p.sites[a.Endpoint] = s
+		s = &site{ep: ep, addr: addr}
+		p.sites[ep] = s
 	}
-	t := &task{a: a, site: s}
-	p.tasks[a.Seq] = t
-	if !p.place(t) {
-		s.pending = append(s.pending, t)
+	k := &call{site: s, left: len(as)}
+	for _, a := range as {
+		t := &task{a: a, call: k}
+		k.tasks = append(k.tasks, t)
+		p.tasks[a.Seq] = t
+	}
+	if !p.place(k) {
+		s.pending = append(s.pending, k)
 	}
 	p.grow(s)
 	p.mu.Unlock()
 }
 
-// place puts an attempt on the first connection with room: attempts of one round to one endpoint share one, so that a
-// batch leaves in one write.
-func (p *Pool) place(t *task) bool {
-	for _, c := range t.site.conns {
-		if c.usable && c.load < c.limit {
-			t.conn = c
+// place puts a call on the first connection with room: calls of one round to one endpoint share one where they can, so
+// that a batch leaves in one write. One idle for too long is passed over: its peer may be closing it.
+func (p *Pool) place(k *call) bool {
+	long := p.clock.Now() - control.Time(p.cfg.Idle/time.Microsecond)
+	for _, c := range k.site.conns {
+		if c.usable && c.load < c.limit && (c.load > 0 || c.since >= long) {
+			k.conn = c
 			c.load++
 			c.unidle()
-			c.send(t)
+			c.send(item{start: k})
 			return true
 		}
 	}
 	return false
 }
 
-// send puts a task into the inbox of its connection; guarded by Pool.mu.
-func (c *conn) send(t *task) {
-	c.inbox = append(c.inbox, t)
+// send puts something into the inbox of a connection; guarded by Pool.mu.
+func (c *conn) send(it item) {
+	c.inbox = append(c.inbox, it)
 	if len(c.inbox) == 1 {
 		_ = c.gc.Wake(nil)
 	}
@@ -211,7 +271,7 @@
 		return
 	}
 	s.wished = true
-	first := s.pending[0].a
+	first := s.pending[0].tasks[0].a
 	p.planner.Wish(opener.Want{Key: uint64(s.ep), Worth: first.Worth, Due: time.Duration(first.Due) * time.Microsecond,
 		Busy: s.busyTo > p.clock.Now()})
 	p.nudge()
@@ -284,19 +344,11 @@
 		return
 	}
 	t.given, t.kind = true, kind
-	if t.conn != nil {
-		t.conn.send(t)
+	if c := t.call.conn; c != nil {
+		c.send(item{give: t})
 		p.mu.Unlock()
 		return
 	}
-	s := t.site
-	for i, o := range s.pending {
-		if o == t {
-			s.pending = append(s.pending[:i], s.pending[i+1:]...)
-			break
-		}
-	}
-	p.grow(s)
 	p.mu.Unlock()
 	end := engine.End{Kind: engine.Unsent}
 	if kind == engine.OutOfTime { // no connection had room for all its time
@@ -305,6 +357,20 @@
 	p.end(t, end)
 }
 
+// Unsend is engine.Back.
+func (p *Pool) Unsend(a *engine.Attempt) {
+	p.mu.Lock()
+	t := p.tasks[a.Seq]
+	waits := t != nil && !t.given && t.call.conn == nil
+	if waits {
+		t.given, t.kind = true, engine.Unsent
+	}
+	p.mu.Unlock()
+	if waits {
+		p.end(t, engine.End{Kind: engine.Unsent, Detail: "its endpoint is not to be sent to now"})
+	}
+}
+
 // CloseIdle is engine.Back.
 func (p *Pool) CloseIdle(ep control.Endpoint) {
 	p.mu.Lock()
@@ -350,19 +416,24 @@
 	}
 	t.ended = true
 	delete(p.tasks, t.a.Seq)
-	c := t.conn
-	if c != nil {
+	k := t.call
+	k.left--
+	switch c := k.conn; {
+	case c != nil && k.left == 0:
 		if c.load--; c.load == 0 {
 			c.idles()
 		}
 		p.refill(c.site)
+	case c == nil && k.left == 0:
+		k.site.pending = slices.DeleteFunc(k.site.pending, func(o *call) bool { return o == k })
+		p.grow(k.site)
 	}
 	p.mu.Unlock()
 	e.Seq = t.a.Seq
 	p.report(e)
 }
 
-// refill puts pending attempts on connections that have room again; guarded by Pool.mu.
+// refill puts pending calls on connections that have room again; guarded by Pool.mu.
 func (p *Pool) refill(s *site) {
 	n := 0
 	for n < len(s.pending) && p.place(s.pending[n]) {
@@ -371,9 +442,12 @@
 	s.pending = append(s.pending[:0], s.pending[n:]...)
 }
 
-func (p *Pool) fail(tasks []*task, why string) {
-	for _, t := range tasks {
-		p.end(t, engine.End{Kind: engine.NotConnected, Detail: why})
+// fail ends calls that were never written.
+func (p *Pool) fail(calls []*call, why string) {
+	for _, k := range calls {
+		for _, t := range k.tasks {
+			p.end(t, engine.End{Kind: engine.NotConnected, Detail: why})
+		}
 	}
 }
 
@@ -396,7 +470,7 @@
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", s.addr.String())
 	if err == nil {
-		c := &conn{pool: p, site: s, tasks: map[uint32]*task{}}
+		c := &conn{pool: p, site: s}
 		if _, err = p.client.EnrollContext(nc, c); err == nil {
 			return // OnOpen has it now
 		}
@@ -412,7 +486,7 @@
 	p.mu.Lock()
 	s.dialing--
 	p.planner.Failed(short)
-	var failed []*task
+	var failed []*call
 	if !short {
 		failed, s.pending = s.pending, nil
 	}
--- /dev/null
+++ b/internal/platform/keeper.go
@@ -0,0 +1,102 @@
+package platform
+
+import (
+	"time"
+
+	"whinrun/control"
+	"whinrun/internal/engine"
+	"whinrun/internal/ledger"
+)
+
+// keeper is the engine's Ledger: it says messages in the ledger's terms, which another process understands, too.
+type keeper struct {
+	l        *ledger.Ledger
+	settings *control.Settings
+	clock    engine.Clock
+	log      func(format string, a ...any)
+}
+
+// wall is the Unix time of an instant of the clock, in microseconds.
+func (k *keeper) wall(t control.Time) int64 {
+	return time.Now().UnixMicro() + int64(t-k.clock.Now())
+}
+
+// Take is engine.Ledger.
+func (k *keeper) Take(m *engine.Message, due control.Time) error {
+	e := &ledger.Entry{Name: m.Name, Class: k.settings.Classes[m.Class].Name, Dest: m.Dest, Due: k.wall(due), Key: m.Repeat,
+		Order: m.Key, Body: m.Body}
+	if m.Tenant < len(k.settings.Tenants) {
+		e.Tenant = k.settings.Tenants[m.Tenant].Name
+	}
+	return k.l.Take(e)
+}
+
+// Out is engine.Ledger.
+func (k *keeper) Out(call []*engine.Attempt) error {
+	names := make([]string, len(call))
+	for i, a := range call {
+		names[i] = a.Msg.Name
+	}
+	return k.l.Out(names, k.wall(call[0].Sent), call[0].Place.Zone)
+}
+
+// Back is engine.Ledger.
+func (k *keeper) Back(a *engine.Attempt, ran bool) { k.told(k.l.Back(a.Msg.Name, ran)) }
+
+// Over is engine.Ledger.
+func (k *keeper) Over(m *engine.Message, a *engine.Answer) {
+	if a == nil || a.Final == engine.Served {
+		k.told(k.l.Over(m.Name))
+		return
+	}
+	k.told(k.l.End(notice(m.Name, a)))
+}
+
+// notice says an end as the platform is told it.
+func notice(name string, a *engine.Answer) ledger.Notice {
+	n := ledger.Notice{Name: name}
+	if a.Final == engine.Refused {
+		n.Deferred, n.Again = true, int64((a.Wait+control.Millisecond-1)/control.Millisecond)
+	}
+	return n
+}
+
+func (k *keeper) told(err error) {
+	if err != nil {
+		k.log("%v", err)
+	}
+}
+
+// owed makes what the ledger holds into messages as the engine takes them, in order. Those of classes or tenants that the
+// settings don't have any more can't be delivered: their names come apart.
+func (k *keeper) owed(entries []ledger.Entry, now time.Time) (all []*engine.Message, void []string) {
+	classes, tenants := map[string]int{}, map[string]int{}
+	for i, c := range k.settings.Classes {
+		classes[c.Name] = i
+	}
+	for i, t := range k.settings.Tenants {
+		tenants[t.Name] = i
+	}
+	for i := range entries {
+		e := &entries[i]
+		class, ok := classes[e.Class]
+		tenant, known := tenants[e.Tenant]
+		if !ok || !known && len(tenants) > 0 {
+			void = append(void, e.Name)
+			continue
+		}
+		m := &engine.Message{Class: class, Tenant: tenant, Dest: e.Dest, Key: e.Order, Name: e.Name, Repeat: e.Key, Body: e.Body,
+			Life:   max(0, control.Time(e.Due-now.UnixMicro())),
+			Before: engine.Before{Restored: true, Tries: e.Tries}}
+		at, zone := e.Doubt, e.Zone
+		if at == 0 {
+			at, zone = e.Out, e.OutTo // the call was out when the process ended: it may have run
+		}
+		if at > 0 {
+			m.Before.Doubt, m.Before.Zone = true, zone
+			m.Before.Ago = max(0, control.Time(now.UnixMicro()-at))
+		}
+		all = append(all, m)
+	}
+	return all, void
+}
--- /dev/null
+++ b/internal/platform/node.go
@@ -0,0 +1,272 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"whinrun/control"
+	"whinrun/internal/disk"
+	"whinrun/internal/door"
+	"whinrun/internal/engine"
+	"whinrun/internal/front"
+	"whinrun/internal/ledger"
+	"whinrun/internal/logs"
+	"whinrun/internal/opener"
+	"whinrun/internal/outbound"
+)
+
+// Figures that follow from no setting.
+const (
+	maxAnswer  = 64 << 10 // bytes of an answer's body; none needs more
+	idlePart   = 0.8      // of the time after which endpoints close idle connections, these are used
+	heldOver   = 2        // messages held, as a multiple of max-open: the module sheds down to that
+	stopCalls  = 3000 * control.Millisecond
+	stopWithin = 3300 * time.Millisecond // the platform kills no sooner than 3.7 s after SIGTERM
+)
+
+// Node is a dispatcher in service on the platform.
+type Node struct {
+	cfg    *Config
+	log    *logs.Logger
+	clock  engine.Clock
+	ledger *ledger.Ledger
+	dir    *Directory
+	desk   *Desk
+	pool   *outbound.Pool
+	loop   *engine.Loop
+	front  *front.Front
+	agent  *agent
+	notes  *noticer
+	listed atomic.Bool
+}
+
+// plan shares the descriptors out: clients can never take those of endpoints, discovery, notices and ledger.
+type plan struct{ clients, endpoints, opening int }
+
+// reserved descriptors: standard streams, event loops and their wakers, listeners, ledger, discovery, notices, and some
+// for what the runtime opens.
+const reserved = 40
+
+// clientPart of what is left is for clients; they are said to hold a third of all at most, and bad ones come beside.
+const clientPart = 0.6
+
+func newPlan(sockets, slots int) plan {
+	opening := min(slots+4, sockets/16)
+	left := sockets - reserved - opening // a connection being opened takes two for a moment
+	p := plan{clients: int(clientPart * float64(left)), opening: opening}
+	p.endpoints = left - p.clients
+	return p
+}
+
+// Start starts a dispatcher: what the ledger owes comes first.
+func Start(cfg *Config, log *logs.Logger) (*Node, error) {
+	folder, err := disk.OpenFolder(cfg.State)
+	if err != nil {
+		return nil, fmt.Errorf("state folder: %w", err)
+	}
+	n := &Node{cfg: cfg, log: log, clock: engine.NewRealClock(), dir: NewDirectory(cfg.Zones, cfg.Settings.Kinds), agent: newAgent(cfg.Discovery)}
+	if n.ledger, err = ledger.Open(folder, int64(cfg.Limits.DiskMB*(1<<20))); err != nil {
+		return nil, err
+	}
+	if err := n.start(); err != nil {
+		_ = n.ledger.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) start() error {
+	cfg, set := n.cfg, &n.cfg.Settings
+	share := newPlan(cfg.Limits.Sockets, set.Slots)
+	var err error
+	n.pool, err = outbound.New(outbound.Config{Loops: 1, Conns: set.Slots + 1, Streams: 1, ConnectTimeout: span(set.ConnectTimeout, 1500*time.Millisecond),
+		Idle: time.Duration(idlePart * float64(span(set.ConnIdle, 5*time.Second))), MaxAnswer: maxAnswer,
+		Opening: opener.Budget{PerSecond: float64(10 * share.endpoints), Opening: share.opening, Total: share.endpoints}},
+		outbound.NewHTTP1(Calls{n.dir, cfg.Reports}), n.clock, func(e engine.End) { n.loop.Put(engine.Input{End: &e}) })
+	if err != nil {
+		return err
+	}
+	keep := &keeper{n.ledger, set, n.clock, n.warn("ledger")}
+	core, err := engine.NewCore(engine.Policy{Settings: *set, Ledger: keep, Judge: Judge, CallSize: maxBody}, cfg.Seed, n.pool, lists{n}, n)
+	if err != nil {
+		n.pool.Close()
+		return err
+	}
+	hold := heldOver * set.MaxOpen
+	entries, owed := n.ledger.Owed()
+	n.loop = engine.NewLoop(core, n.clock, engine.Bounds{Queue: hold + len(entries), Hold: hold + len(entries)})
+	n.notes = newNoticer(n.agent, func(names []string) {
+		if err := n.ledger.Acked(names); err != nil {
+			n.log.Warn("ledger", "%v", err)
+		}
+	}, n.warn("notices"))
+	n.notes.put(owed...)
+	n.told(cfg.Known, control.ListCached)
+	n.restore(keep, entries)
+	go n.loop.Run()
+
+	bytes := int64(cfg.Limits.MemoryMB * (1 << 20) / 8)
+	d := door.New(door.Limits{Conns: share.clients, Bytes: bytes, Hold: hold, BlockAt: 1, UnblockAt: 1}, max(1, len(set.Tenants)), n.loop)
+	n.desk = NewDesk(*set, d.Side("platform"))
+	n.desk.knows, n.desk.owes, n.desk.ready, n.desk.now = n.dir.Knows, n.ledger.Has, n.listed.Load, n.elapsed
+	n.desk.ended = n.Ended
+	n.front, err = front.New(front.Config{Address: cfg.Listen.String(), Loops: 1, Unread: 64 << 10}, n.desk.side, n.clock,
+		func(t string) { n.log.Warn("clients", "%s", t) }, n.desk.Open)
+	if err != nil {
+		n.loop.Close()
+		n.pool.Close()
+		return err
+	}
+	w := &watcher{agent: n.agent, seq: cfg.Known.Seq, told: n.heard, log: n.warn("discovery")}
+	go w.run()
+	go n.notes.run()
+	n.log.Info("node", "%s listens on %v: %d messages and %d notices owed, %d connections for clients, %d for endpoints", cfg.Name, n.front.Addr(),
+		len(entries), len(owed), share.clients, share.endpoints)
+	return nil
+}
+
+func span(t control.Time, or time.Duration) time.Duration {
+	if t <= 0 {
+		return or
+	}
+	return time.Duration(t) * time.Microsecond
+}
+
+func (n *Node) elapsed() time.Duration { return engine.Elapsed(n.clock) }
+
+func (n *Node) warn(part string) func(string, ...any) {
+	return func(f string, a ...any) { n.log.Warn(part, f, a...) }
+}
+
+// restore hands in what the process before this one owed.
+func (n *Node) restore(k *keeper, entries []ledger.Entry) {
+	all, void := k.owed(entries, time.Now())
+	for _, m := range all {
+		m.Origin = origin{n}
+		if err := n.loop.Submit(m); err != nil {
+			void = append(void, m.Name)
+		}
+	}
+	for _, name := range void {
+		x := ledger.Notice{Name: name}
+		if err := n.ledger.End(x); err != nil {
+			n.log.Warn("ledger", "%v", err)
+		}
+		n.notes.put(x)
+	}
+}
+
+// origin is where restored messages came from.
+type origin struct{ n *Node }
+
+// Final is engine.Origin.
+func (o origin) Final(m *engine.Message, a engine.Answer) { o.n.Ended(m, a) }
+
+// Ended tells the platform of the end of a message that was taken on; a delivered one needs no word.
+func (n *Node) Ended(m *engine.Message, a engine.Answer) {
+	if a.Final != engine.Served {
+		n.notes.put(notice(m.Name, &a))
+	}
+}
+
+// heard takes a list from discovery.
+func (n *Node) heard(l List) {
+	kind := control.ListDelta
+	if l.Whole {
+		kind = control.ListFull
+	}
+	n.told(l, kind)
+}
+
+func (n *Node) told(l List, kind control.ListKind) {
+	in, faults := n.dir.news(l, kind, n.elapsed())
+	for _, err := range faults {
+		n.log.Warn("discovery", "%v", err)
+	}
+	n.loop.Put(in)
+	if len(l.Hosts) > 0 || kind == control.ListFull {
+		n.listed.Store(true)
+	}
+}
+
+// lists answers what settings with AskList ask for: the watch runs all the time.
+type lists struct{ n *Node }
+
+func (l lists) Watch() { l.answer() }
+func (l lists) Fetch() { l.answer() }
+
+func (l lists) answer() {
+	l.n.loop.Put(engine.Input{List: &engine.List{Kind: control.ListDelta}})
+}
+
+// Note is engine.Log.
+func (n *Node) Note(text string) { n.log.Info("module", "%s", text) }
+
+// Fault is engine.Log.
+func (n *Node) Fault(text string) { n.log.Error("engine", "%s", text) }
+
+// Addr is where clients connect.
+func (n *Node) Addr() net.Addr { return n.front.Addr() }
+
+// Stats returns the engine's counts.
+func (n *Node) Stats() engine.Stats { return n.loop.Stats() }
+
+// Reload takes a new configuration: discovery and notices move. All else stays as at the start.
+func (n *Node) Reload(cfg *Config) {
+	n.agent.move(cfg.Discovery)
+	n.log.Info("node", "configuration read again: discovery at %v", cfg.Discovery)
+}
+
+// Moved is where discovery is now, for tests.
+func (n *Node) Moved() netip.AddrPort {
+	n.agent.mu.Lock()
+	defer n.agent.mu.Unlock()
+	return n.agent.addr
+}
+
+// Stop ends a dispatcher in order: nothing new is taken, what is out is awaited within the time there is, the rest stays
+// in the ledger.
+func (n *Node) Stop() {
+	n.log.Info("node", "stopping")
+	n.desk.closing.Store(true)
+	n.front.GoAway()
+	n.loop.Put(engine.Input{Stop: stopCalls, Kept: true})
+	begun := n.elapsed()
+	for {
+		st := n.loop.Stats()
+		gone := n.elapsed() - begun
+		quiet := st.Out == 0 && n.notes.waiting() == 0
+		if gone > stopWithin || quiet && (st.Open == 0 && gone > time.Second || gone > time.Duration(stopCalls)*time.Microsecond) {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	n.end()
+	st := n.loop.Stats()
+	n.log.Info("node", "stopped: %d taken, %d delivered, %d refused, %d failed, %d stay in the ledger", st.Taken, st.Served, st.Refused, st.Failed, st.Open)
+}
+
+// Kill ends a dispatcher at once, as a crash would, but for the sockets that it closes.
+func (n *Node) Kill() { n.end() }
+
+func (n *Node) end() {
+	ctx, done := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer done()
+	n.loop.Close()
+	_ = n.front.Close(ctx)
+	n.pool.Close()
+	n.agent.stop()
+	<-n.notes.done
+	if err := n.ledger.Close(); err != nil {
+		n.log.Warn("ledger", "%v", err)
+	}
+}
+
+// HeapLimit is the soft limit of the heap for the memory that a dispatcher has, in bytes: the rest is for stacks, code,
+// buffers of the kernel and the garbage of a moment.
+func (l Limits) HeapLimit() int64 { return int64(math.Max(8, 0.55*l.MemoryMB)) << 20 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -57,7 +57,7 @@
 	names := push.Names{Epoch: strconv.FormatUint(binary.LittleEndian.Uint64(seed[8:])>>16, 36)}
 	var err error
 	speech := &speech{roster: s.roster, sites: cfg.Sites, dialects: cfg.Dialects, names: names, wall: time.Now}
-	s.pool, err = outbound.New(cfg.Outbound, speech, s.clock, func(e engine.End) { s.loop.Put(engine.Input{End: &e}) })
+	s.pool, err = outbound.New(cfg.Outbound, outbound.NewHTTP2(speech), s.clock, func(e engine.End) { s.loop.Put(engine.Input{End: &e}) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,8 +1,11 @@
 package wire
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -70,6 +73,55 @@
 	return strings.Split(p.at[key], ",")
 }
 
+// Flatten turns settings that came as nested JSON into the path=value lines of the wire: lists of plain values joined by
+// commas, lists of objects by their count and number, spaces and commas within values replaced by _.
+func Flatten(text []byte) (string, error) {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.UseNumber()
+	var v map[string]any
+	if err := dec.Decode(&v); err != nil {
+		return "", fmt.Errorf("settings: %w", err)
+	}
+	var lines []string
+	flatten("", v, &lines)
+	slices.Sort(lines)
+	return strings.Join(lines, "\n") + "\n", nil
+}
+
+func flatten(path string, v any, lines *[]string) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			at := k
+			if path != "" {
+				at = path + "." + k
+			}
+			flatten(at, x, lines)
+		}
+	case []any:
+		var plain []string
+		for i, x := range v {
+			if o, ok := x.(map[string]any); ok {
+				flatten(fmt.Sprintf("%s.%d", path, i), o, lines)
+				continue
+			}
+			plain = append(plain, scalar(x))
+		}
+		if len(plain) < len(v) {
+			*lines = append(*lines, fmt.Sprintf("%s.count=%d", path, len(v)))
+			return
+		}
+		*lines = append(*lines, path+"="+strings.Join(plain, ","))
+	case nil:
+	default:
+		*lines = append(*lines, path+"="+scalar(v))
+	}
+}
+
+var inValue = strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_")
+
+func scalar(v any) string { return inValue.Replace(fmt.Sprint(v)) }
+
 // ParseSettings reads path=value lines. Unknown keys are skipped.
 func ParseSettings(text string) (control.Settings, error) {
 	p := &pairs{at: make(map[string]string)}
