--- /dev/null
+++ b/cmd/whinrun/node_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"whinrun/internal/platform/stage"
+)
+
+// nodeSettings are settings in the platform's form.
+const nodeSettings = `{"classes":[
+ {"effect":"free","gain":2,"group":"all","hard-limit":4000000,"late-worth":0,"name":"status","target":1000000,"window":1000000},
+ {"effect":"single_shot","gain":5,"group":"all","hard-limit":5000000,"late-worth":0.5,"name":"upload","target":1000000,"window":1000000}],
+ "extra":{"batch-by-kind":[1],"slots":10},"host-types":["single"],"instances":1,"tick":5000,
+ "limits":{"conn-idle":5000000,"connect-timeout":1500000,"max-open":60,"max-retry-after":2000000,"may-cancel":true,"most-tries":6,"retry-after":true},
+ "rules":{"cold-from":0.5,"overload-for":2000000,"stop-sending-within":1000000,"tip-multiple":2,"warm-up":2000000}}`
+
+// node is the program on a stage, in a process of its own.
+type node struct {
+	t     *testing.T
+	bin   string
+	addr  string
+	file  string
+	state string
+	agent *stage.Agent
+	cmd   *exec.Cmd
+	out   bytes.Buffer
+}
+
+func newNode(t *testing.T, s *stage.Stage) *node {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	dir := t.TempDir()
+	n := &node{t: t, bin: build(t), addr: ln.Addr().String(), file: filepath.Join(dir, "config.json"), state: filepath.Join(dir, "state")}
+	if n.agent, err = s.Agent(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.agent.Close)
+	return n
+}
+
+func (n *node) configure() {
+	n.t.Helper()
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":1},"known":%s,"settings":%s}`,
+		n.addr, n.agent.Addr, n.agent.Whole(), nodeSettings)
+	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+func (n *node) start() {
+	n.t.Helper()
+	n.configure()
+	n.cmd = exec.Command(n.bin, "node")
+	n.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+n.file, "EDGE_STATE="+n.state)
+	n.cmd.Stdout = &n.out
+	if err := n.cmd.Start(); err != nil {
+		n.t.Fatal(err)
+	}
+	cmd := n.cmd
+	n.t.Cleanup(func() { _ = cmd.Process.Kill() })
+	for over := time.Now().Add(10 * time.Second); time.Now().Before(over); time.Sleep(5 * time.Millisecond) {
+		if c, err := net.Dial("tcp", n.addr); err == nil {
+			_ = c.Close()
+			return
+		}
+	}
+	n.t.Fatal("it does not listen")
+}
+
+// The program killed again and again in load: every message taken has its end, no upload is sent twice.
+func TestNodeKilledInLoad(t *testing.T) {
+	s := stage.New()
+	n := newNode(t, s)
+	e, err := s.Endpoint("a", 1, "", func(c stage.Call) stage.Reply {
+		return stage.Reply{Status: []int{200, 200, 500, 503}[c.N%4], After: time.Duration(c.N%5) * 3 * time.Millisecond, Drop: c.N%11 == 0}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	n.agent.Set(stage.Host{Host: "a", Dial: e.Addr, Class: "single", Block: 1, Health: "ready"})
+	var mu sync.Mutex
+	var names []string
+	for round := range 5 {
+		n.start()
+		stop := make(chan struct{})
+		var all sync.WaitGroup
+		for w := range 4 {
+			all.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					name := fmt.Sprintf("r%d-w%d-%d", round, w, i)
+					class := []string{"status", "upload"}[i%2]
+					if s.Hand(n.addr, stage.Message{Name: name, Class: class, Dest: 1, Left: 3 * time.Second, Body: name}) == 202 {
+						mu.Lock()
+						names = append(names, name)
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		had := len(s.Events())
+		s.Await(5*time.Second, func(ev []stage.Event) bool { return len(ev) > had+150+37*round })
+		_ = n.cmd.Process.Signal(syscall.SIGKILL)
+		_ = n.cmd.Wait()
+		s.Note(stage.Event{Kind: stage.Restarted})
+		close(stop)
+		all.Wait()
+	}
+	n.start()
+	s.Await(8*time.Second, func(ev []stage.Event) bool {
+		ended := map[string]bool{}
+		for _, x := range ev {
+			if x.Kind == stage.Noticed || x.Kind == stage.Answered && x.Status == 200 {
+				ended[x.Name] = true
+			}
+		}
+		for _, name := range names {
+			if !ended[name] {
+				return false
+			}
+		}
+		return true
+	})
+	for _, f := range stage.Check(s.Events(), stage.Rules{Slack: 2 * time.Second, Grace: time.Second, Once: []string{"upload"}, ColdBudget: 1 << 20,
+		WaitExcused: 150 * time.Millisecond}, time.Now()) {
+		t.Error(f)
+	}
+	if len(names) < 50 {
+		t.Errorf("only %d taken", len(names))
+	}
+}
+
+// SIGHUP never ends it, whatever the file holds; SIGTERM ends it in order, with 0, before 3.7 s.
+func TestNodeSignals(t *testing.T) {
+	s := stage.New()
+	n := newNode(t, s)
+	e, err := s.Endpoint("a", 1, "", func(stage.Call) stage.Reply { return stage.Reply{Status: 500} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	n.agent.Set(stage.Host{Host: "a", Dial: e.Addr, Class: "single", Block: 1, Health: "ready"})
+	n.start()
+	if err := os.WriteFile(n.file, []byte("no configuration"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_ = n.cmd.Process.Signal(syscall.SIGHUP)
+	old := n.agent
+	if n.agent, err = s.Agent(); err != nil {
+		t.Fatal(err)
+	}
+	defer n.agent.Close()
+	n.agent.Set(stage.Host{Host: "a", Dial: e.Addr, Class: "single", Block: 1, Health: "ready"})
+	n.configure()
+	_ = n.cmd.Process.Signal(syscall.SIGHUP)
+	old.Close()
+	if status := s.Hand(n.addr, stage.Message{Name: "m", Class: "upload", Dest: 1, Left: 3 * time.Second}); status != 202 {
+		t.Fatalf("answer %d", status)
+	}
+	if !s.Await(5*time.Second, func(ev []stage.Event) bool { return stage.Count(ev, stage.Noticed, "m") > 0 }) {
+		t.Error("no notice at the new address")
+	}
+	start := time.Now()
+	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	if err := n.cmd.Wait(); err != nil {
+		t.Error("exit:", err)
+	}
+	if took := time.Since(start); took > 3700*time.Millisecond {
+		t.Errorf("the stop took %v", took)
+	}
+	if out := n.out.String(); !strings.Contains(out, "stopped: 1 taken") || strings.Contains(out, `"level":"error"`) {
+		t.Errorf("log: %s", out)
+	}
+}
+
+// A fault of the configuration is one line that names file and key.
+func TestNodeConfigurationFault(t *testing.T) {
+	bin := build(t)
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(`{"listen":"127.0.0.1:0","discovery":"x"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, env := range [][]string{{"EDGE_CONFIG=" + file, "EDGE_STATE=/x"}, {"EDGE_CONFIG=" + file + "-none"}, {}} {
+		cmd := exec.Command(bin, "node")
+		cmd.Env = env
+		out, err := cmd.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || len(env) > 1 && (!strings.Contains(string(out), file) || !strings.Contains(string(out), "discovery")) {
+			t.Errorf("%v: %v, %q", env, err, out)
+		}
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -201,6 +201,10 @@
 	m.dest.open++
 	m.dest.demand.add(d.now, 1)
 	d.noteCredit = min(d.noteCredit+d.notePart, noteMost)
+	if d.stopAt > 0 {
+		d.finish(m, true, "this dispatcher stops")
+		return
+	}
 	// The answer leaves before the time is up, one round early for rounding.
 	d.out = append(d.out, Action{Kind: Timer, After: max(e.Grace-2*d.set.Tick, 0), Mark: uint64(m.id) + 1})
 	if c.InOrder && e.Key != 0 {
@@ -304,7 +308,9 @@
 func (d *Dispatcher) finish(m *message, back bool, why string) {
 	a := Action{Kind: Fail, Message: m.id, Text: why}
 	if back && d.refusable(m) {
-		if a.Kind = Refuse; d.set.RetryAfter {
+		if a.Kind = Refuse; d.set.RetryAfter && d.stopAt > 0 {
+			a.After = d.set.MaxRetryAfter // its successor is not there sooner
+		} else if d.set.RetryAfter {
 			a.After = min(max(d.opens(m)-d.now, 0), d.set.MaxRetryAfter)
 		}
 	}
--- /dev/null
+++ b/control/resume_test.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"slices"
+	"testing"
+)
+
+// What a process that ended had done for a message binds its successor: attempts count, and what may have run goes
+// again only as its class allows. What can't go is answered in that round.
+func TestRestoredMessages(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		tries int
+		doubt bool
+		ago   Time
+		zone  int
+		sent  bool
+		end   ActionKind
+	}{
+		{"unsafe, never sent", single, 0, false, 0, 0, true, 0},
+		{"unsafe, refused before", single, 2, false, 0, 0, true, 0},
+		{"unsafe, may have run", single, 1, true, s, 0, false, Fail},
+		{"free, may have run", free, 1, true, s, 0, true, 0},
+		{"guarded, in its window", guarded, 1, true, s, 0, true, 0},
+		{"guarded, past its window", guarded, 1, true, 100 * s, 0, false, Refuse},
+		{"all attempts made", free, 6, false, 0, 0, false, Refuse},
+		{"all but one made", free, 5, true, s, 0, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, testSettings(), entry(1, 0, 0))
+			e := r.msg(c.class, 1)
+			e.Attempt, e.Doubt, e.Lag, e.Zone = c.tries, c.doubt, c.ago, c.zone
+			acts := r.at(0, e)
+			if c.sent {
+				r.want(acts, 1)
+				return
+			}
+			r.want(acts)
+			r.wantEnd(acts, c.end, 1)
+		})
+	}
+}
+
+// A dispatcher whose successor goes on with what is held refuses what is new, with the longest wait that it may tell,
+// begins no call that may not end in time, and ends nothing that is held.
+func TestStopThatKeeps(t *testing.T) {
+	set := testSettings()
+	set.RetryAfter, set.MaxRetryAfter, set.Slots = true, 2*s, 1
+	r := newRig(t, set, entry(1, 0, 0))
+	r.want(r.at(0, r.msg(single, 1)), 1)
+	r.at(s/10, r.msg(single, 1), r.msg(single, 1)) // held behind the slot
+	r.at(0, Event{Kind: Closing, Grace: 3 * s, Kept: true})
+	acts := r.at(s/100, r.msg(single, 1))
+	r.wantEnd(acts, Refuse, 4)
+	if i := slices.IndexFunc(acts, func(a Action) bool { return a.Kind == Refuse }); acts[i].After != 2*s {
+		t.Errorf("told to stay away for %v", acts[i].After)
+	}
+	r.want(r.at(s/10, done(1, 0, OK)), 2) // there is time for one more
+	acts = slices.Concat(r.wait(2700*Millisecond), r.at(0, done(2, 0, OK)), r.wait(s))
+	r.want(acts)
+	for _, a := range acts {
+		if a.Kind == Refuse || a.Kind == Fail {
+			t.Errorf("what is kept was ended: %+v", a)
+		}
+	}
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -133,6 +133,17 @@
 	return true
 }
 
+// crowdedAt is the part of the room for connections from which on idle ones are to go: the rest bears a burst until
+// they have gone.
+const crowdedAt = 0.75
+
+// Crowded tells whether so many connections are open that idle ones are to make room.
+func (s *Side) Crowded() bool {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	return float64(s.d.conns) > crowdedAt*float64(s.d.limits.Conns)
+}
+
 // Leave gives a connection's room back.
 func (s *Side) Leave() {
 	s.d.mu.Lock()
--- /dev/null
+++ b/internal/engine/ledger_test.go
@@ -0,0 +1,173 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"whinrun/control"
+)
+
+// book writes down, in order, what the ledger, the sender and the back end were told.
+type book struct {
+	lines      []string
+	full, mute bool
+	calls      [][]*Attempt
+}
+
+func (b *book) put(f string, a ...any) { b.lines = append(b.lines, fmt.Sprintf(f, a...)) }
+
+func (b *book) Take(m *Message, _ control.Time) error {
+	if b.full {
+		return errors.New("full")
+	}
+	b.put("take %s", m.Name)
+	return nil
+}
+
+func (b *book) Out(call []*Attempt) error {
+	if b.mute {
+		return errors.New("no room")
+	}
+	b.put("out %d", len(call))
+	return nil
+}
+func (b *book) Back(a *Attempt, ran bool)     { b.put("back %s %v", a.Msg.Name, ran) }
+func (b *book) Over(m *Message, a *Answer)    { b.put("over %s %v", m.Name, a != nil) }
+func (b *book) Taken(m *Message)              { b.put("told %s", m.Name) }
+func (b *book) Final(m *Message, a Answer)    { b.put("final %s %v", m.Name, a.Final) }
+func (b *book) Abandon(a *Attempt, _ EndKind) { b.put("abandon %s", a.Msg.Name) }
+func (b *book) Unsend(a *Attempt)             { b.put("unsend %s", a.Msg.Name) }
+func (b *book) CloseIdle(control.Endpoint)    {}
+func (b *book) Note(string)                   {}
+func (b *book) Fault(text string)             { b.put("fault %s", text) }
+func (b *book) Start(call []*Attempt)         { b.put("start %d", len(call)); b.calls = append(b.calls, call) }
+func (b *book) take() (l []string)            { l, b.lines = b.lines, nil; return l }
+func (b *book) want(t *testing.T, lines ...string) {
+	t.Helper()
+	if got := b.take(); !slices.Equal(got, lines) {
+		t.Errorf("%q, want %q", got, lines)
+	}
+}
+
+func newBook(t *testing.T) (*book, *Core) {
+	t.Helper()
+	set := settings()
+	set.MayCancel = true
+	set.Kinds = []control.Kind{{Name: "bulk", Batch: 3}, {Name: "single", Batch: 1}}
+	b := &book{}
+	c, err := NewCore(Policy{Settings: set, OwnPath: []bool{false, false}, Ledger: b, CallSize: 2000}, 1, b, nil, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Round(control.Second, []Input{{List: &List{Kind: control.ListFull, Entries: []control.Entry{
+		{Endpoint: 1, Dest: 1, Kind: 0, Health: control.Ready}, {Endpoint: 2, Dest: 2, Kind: 1, Health: control.Ready}}}}})
+	return b, c
+}
+
+func (b *book) msg(id control.MessageID, dest, size int) Input {
+	return Input{Submit: &Message{ID: id, Name: fmt.Sprint("m", id), Dest: dest, Life: 3 * control.Second, Body: make([]byte, size), Origin: b}}
+}
+
+// On record before the sender hears, and before the call leaves; the end on record before anybody is told.
+func TestRecordBeforePromise(t *testing.T) {
+	b, c := newBook(t)
+	c.Round(2*control.Second, []Input{b.msg(1, 2, 10)})
+	b.want(t, "take m1", "told m1", "out 1", "start 1")
+	c.Round(2*control.Second+1000, []Input{{End: &End{Seq: b.calls[0][0].Seq, Kind: Answered, Status: 503}}})
+	if got := b.take(); len(got) == 0 || got[0] != "back m1 true" { // 503 without a wait, by the table of push gateways
+		t.Errorf("%q", got)
+	}
+}
+
+// The sends of a round to one endpoint are one call, as far as kind and size allow.
+func TestCallsOfARound(t *testing.T) {
+	b, c := newBook(t)
+	var in []Input
+	for i := range 4 {
+		in = append(in, b.msg(control.MessageID(i+1), 1, 10))
+	}
+	c.Round(2*control.Second, in)
+	if len(b.calls) == 0 || len(b.calls[0]) != 3 {
+		t.Fatalf("%d calls: %q", len(b.calls), b.lines)
+	}
+	b, c = newBook(t)
+	c.Round(2*control.Second, []Input{b.msg(1, 1, 1000), b.msg(2, 1, 1000)})
+	for _, call := range b.calls {
+		if len(call) != 1 {
+			t.Errorf("a call of %d messages is larger than calls may be", len(call))
+		}
+	}
+}
+
+// A message that can't be kept is refused, and the module forgets it.
+func TestLedgerFull(t *testing.T) {
+	b, c := newBook(t)
+	b.full = true
+	c.Round(2*control.Second, []Input{b.msg(1, 2, 10)})
+	b.want(t, "final m1 refused")
+	c.Round(2*control.Second+5000, nil)
+	b.want(t)
+	if s := c.Stats(); s.Open != 0 || s.Out != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// A call that can't go on record is not made: it never ran, and the message goes on.
+func TestCallNotOnRecord(t *testing.T) {
+	b, c := newBook(t)
+	b.mute = true
+	c.Round(2*control.Second, []Input{b.msg(1, 2, 10)})
+	b.want(t, "take m1", "told m1", "back m1 false")
+	b.mute = false
+	for i := range 200 {
+		c.Round(2*control.Second+control.Time(i+1)*10*control.Millisecond, nil)
+	}
+	if got := b.take(); !slices.Contains(got, "start 1") {
+		t.Errorf("%q", got)
+	}
+}
+
+// What was not written when a drain or a wait is told is taken back.
+func TestTakenBack(t *testing.T) {
+	b, c := newBook(t)
+	c.Round(2*control.Second, []Input{b.msg(1, 2, 10)})
+	b.take()
+	c.Round(2*control.Second+1000, []Input{{List: &List{Entries: []control.Entry{{Endpoint: 2, Dest: 2, Kind: 1, Health: control.Draining}}}}})
+	b.want(t, "unsend m1")
+	b, c = newBook(t)
+	c.Round(2*control.Second, []Input{b.msg(1, 2, 10)})
+	c.Round(2*control.Second+1000, []Input{b.msg(2, 2, 10)})
+	if len(b.calls) < 2 {
+		t.Fatalf("%d calls", len(b.calls))
+	}
+	b.take()
+	c.Round(2*control.Second+2000, []Input{{End: &End{Seq: b.calls[0][0].Seq, Kind: Answered, Status: 429, Wait: control.Second}}})
+	if got := b.take(); !slices.Contains(got, "unsend m2") {
+		t.Errorf("%q", got)
+	}
+}
+
+// A restored message is not recorded anew, and keeps its attempts and its doubt.
+func TestRestored(t *testing.T) {
+	b, c := newBook(t)
+	in := b.msg(1, 2, 10)
+	in.Submit.Before = Before{Restored: true, Tries: 2}
+	c.Round(2*control.Second, []Input{in})
+	b.want(t, "told m1", "out 1", "start 1")
+	if n := b.calls[0][0].N; n != 2 {
+		t.Errorf("the next attempt is number %d", n)
+	}
+}
+
+// Time that passed before the round took a message is not given again.
+func TestLateRound(t *testing.T) {
+	b, c := newBook(t)
+	in := b.msg(1, 2, 10)
+	in.Submit.Came = 2 * control.Second
+	c.Round(2*control.Second+500*control.Millisecond, []Input{in})
+	if due := b.calls[0][0].Due; due != 5*control.Second {
+		t.Errorf("due at %d, want %d", due, 5*control.Second)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,6 +44,12 @@
 	Lost()
 }
 
+// Idler is a Session whose connection may be closed while nothing is under way on it, to make room for others.
+type Idler interface {
+	// Idle tells since when nothing is under way; ok is false while something is.
+	Idle() (since time.Duration, ok bool)
+}
+
 // Parcel is something for a session that came from another goroutine.
 type Parcel interface {
 	Open(now time.Duration) // on the connection's event loop
@@ -94,6 +100,8 @@
 	gone  bool
 	owes  atomic.Bool
 	due   atomic.Int64
+	idle  atomic.Int64 // since when, 0 while it is not
+	evict atomic.Bool  // it is to be closed if it is idle
 }
 
 // New makes a Front and listens. open makes the session of a new connection.
@@ -216,9 +224,40 @@
 	f.mu.Unlock()
 	gc.SetContext(c)
 	c.due.Store(int64(c.session.Due(now)))
+	c.rests()
+	if f.side.Crowded() {
+		f.makeRoom(c)
+	}
 	return c.session.Output(), gnet.None
 }
 
+// makeRoom has the connection closed that has been idle longest. Guards against clients that connect in numbers and say
+// nothing: they must not keep the others out.
+func (f *Front) makeRoom(not *Conn) {
+	var longest *Conn
+	f.each(func(c *Conn) {
+		since := c.idle.Load()
+		if c != not && since > 0 && !c.evict.Load() && (longest == nil || since < longest.idle.Load()) {
+			longest = c
+		}
+	})
+	if longest != nil {
+		longest.evict.Store(true)
+		longest.wake()
+	}
+}
+
+// rests keeps since when a connection is idle.
+func (c *Conn) rests() {
+	since := time.Duration(0)
+	if s, ok := c.session.(Idler); ok {
+		if at, idle := s.Idle(); idle {
+			since = max(at, 1)
+		}
+	}
+	c.idle.Store(int64(since))
+}
+
 // OnClose tells the session, and all that is on its way to it.
 func (f *Front) OnClose(gc gnet.Conn, _ error) gnet.Action {
 	c, ok := gc.Context().(*Conn)
@@ -306,7 +345,10 @@
 	unread := c.gc.OutboundBuffered()
 	c.owes.Store(unread > 0 || c.session.Owes())
 	c.due.Store(int64(c.session.Due(now)))
+	c.rests()
 	switch {
+	case c.evict.Swap(false) && c.idle.Load() > 0 && unread == 0:
+		return gnet.Close
 	case unread > c.f.cfg.Unread: // a client that stops reading must not hold memory
 		c.Log("reads no answers: closed with %d bytes unread", unread)
 		return gnet.Close
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,306 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"whinrun/internal/disk"
+)
+
+const mb = 1 << 20
+
+func open(t *testing.T, fs disk.FS, limit int64) *Ledger {
+	t.Helper()
+	l, err := Open(fs, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// reopen reads a folder as the next process does.
+func reopen(t *testing.T, l *Ledger, fs disk.FS, limit int64) *Ledger {
+	t.Helper()
+	_ = l.Close()
+	return open(t, fs, limit)
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestRestartOwesWhatWasOwed(t *testing.T) {
+	fs := disk.NewMemory()
+	l := open(t, fs, mb)
+	for _, n := range []string{"a", "b", "c", "d", "e"} {
+		must(t, l.Take(&Entry{Name: n, Class: "k", Dest: 3, Due: 77, Key: "key-" + n, Body: []byte("body " + n)}))
+	}
+	must(t, l.Out([]string{"a", "b"}, 100, 1)) // out when the process ends: a
+	must(t, l.Back("b", false))                // b never ran
+	must(t, l.Out([]string{"c"}, 110, 1))
+	must(t, l.Back("c", true)) // c may have run, in zone 1
+	must(t, l.Out([]string{"c"}, 120, 0))
+	must(t, l.Over("d"))
+	must(t, l.End(Notice{Name: "e", Deferred: true, Again: 40}))
+	l = reopen(t, l, fs, mb)
+	entries, notices := l.Owed()
+	want := []Entry{
+		{Name: "a", Tries: 1, Out: 100, OutTo: 1}, {Name: "b", Tries: 1, OutTo: 1}, {Name: "c", Tries: 2, Doubt: 110, Zone: 1, Out: 120},
+	}
+	if len(entries) != len(want) {
+		t.Fatalf("owed %+v", entries)
+	}
+	for i, e := range entries {
+		w := want[i]
+		if e.Name != w.Name || e.Tries != w.Tries || e.Out != w.Out || e.OutTo != w.OutTo || e.Doubt != w.Doubt || e.Zone != w.Zone ||
+			e.Due != 77 || e.Key != "key-"+e.Name || string(e.Body) != "body "+e.Name {
+			t.Errorf("owed %+v, want %+v", e, w)
+		}
+	}
+	if len(notices) != 1 || notices[0].Name != "e" || !notices[0].Deferred || notices[0].Again != 40 {
+		t.Errorf("notices %+v", notices)
+	}
+	must(t, l.Acked([]string{"e"}))
+	l = reopen(t, l, fs, mb)
+	if _, notices = l.Owed(); len(notices) != 0 {
+		t.Errorf("notices %+v after they were acknowledged", notices)
+	}
+}
+
+// The folder never holds more than it may, a compaction in progress included, and a full ledger refuses.
+func TestStaysWithinTheDisk(t *testing.T) {
+	const limit = 256 << 10
+	fs := disk.NewMemory()
+	l := open(t, fs, limit)
+	used := func() (sum int64) {
+		names, _ := fs.List()
+		for _, n := range names {
+			sum += (int64(len(fs.Bytes(n))) + 511) / 512 * 512
+		}
+		return sum
+	}
+	var most int64
+	body := bytes.Repeat([]byte("x"), 2000)
+	var held []string
+	full := 0
+	for i := range 3000 {
+		n := fmt.Sprintf("m%05d", i)
+		switch err := l.Take(&Entry{Name: n, Class: "k", Body: body}); {
+		case errors.Is(err, ErrFull):
+			full++
+			for _, h := range held[:len(held)/2] {
+				must(t, l.Over(h))
+			}
+			held = held[len(held)/2:]
+		case err != nil:
+			t.Fatal(err)
+		default:
+			held = append(held, n)
+			must(t, l.Out([]string{n}, int64(i), 0))
+		}
+		file, live := l.Size()
+		most = max(most, used(), file+live)
+	}
+	if full == 0 || most > limit {
+		t.Errorf("%d refused, at most %d bytes of %d", full, most, limit)
+	}
+	l = reopen(t, l, fs, limit)
+	if entries, _ := l.Owed(); len(entries) != len(held) {
+		t.Errorf("%d owed, want %d", len(entries), len(held))
+	}
+}
+
+// Whatever the file's end looks like, the lines before it count and nothing is made up.
+func TestTornAndDamagedTail(t *testing.T) {
+	fs := disk.NewMemory()
+	l := open(t, fs, mb)
+	for i := range 5 {
+		must(t, l.Take(&Entry{Name: fmt.Sprint("m", i), Class: "k", Body: []byte("body")}))
+	}
+	whole := bytes.Clone(fs.Bytes(name))
+	for cut := range whole {
+		for _, tail := range [][]byte{whole[:cut], append(bytes.Clone(whole[:cut]), 0xff)} {
+			b := newBook()
+			if err := b.load(tail); err != nil {
+				t.Fatal(err)
+			}
+			for i, e := range b.entries() {
+				if e.Name != fmt.Sprint("m", i) || string(e.Body) != "body" {
+					t.Fatalf("cut at %d: entry %+v", cut, e)
+				}
+			}
+		}
+	}
+}
+
+func TestNewerFormIsRefused(t *testing.T) {
+	fs := disk.NewMemory()
+	b, err := line(nil, &record{Form: form + 1})
+	must(t, err)
+	f, err := fs.Create(name)
+	must(t, err)
+	if _, err := f.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	must(t, f.Close())
+	if _, err := Open(fs, mb); !errors.Is(err, ErrForm) {
+		t.Errorf("error %v", err)
+	}
+}
+
+var errDisk = errors.New("disk trouble")
+
+// Each operation failing in turn, once and for good: what was promised is owed after a restart, what was refused is
+// not, and when the disk is well again so is the ledger.
+func TestEachOperationFails(t *testing.T) {
+	for _, forGood := range []bool{false, true} {
+		for at := 1; ; at++ {
+			fs := disk.NewMemory()
+			l := open(t, fs, 64<<10)
+			n := 0
+			fs.SetFail(func(string, string) error {
+				n++
+				if n == at || forGood && n > at && n < at+40 {
+					return errDisk
+				}
+				return nil
+			})
+			owed, over := map[string]bool{}, map[string]bool{}
+			body := bytes.Repeat([]byte("x"), 3000)
+			for i := range 60 {
+				m := fmt.Sprint("m", i)
+				if l.Take(&Entry{Name: m, Class: "k", Body: body}) == nil {
+					owed[m] = true
+					_ = l.Out([]string{m}, 5, 0)
+				}
+				if o := fmt.Sprint("m", i-3); owed[o] {
+					_ = l.Over(o) // it is over whatever the disk says
+					delete(owed, o)
+					over[o] = true
+				}
+			}
+			last := n
+			fs.SetFail(nil)
+			must(t, l.Take(&Entry{Name: "after", Class: "k"}))
+			owed["after"] = true
+			l = reopen(t, l, fs, 64<<10)
+			entries, _ := l.Owed()
+			var got []string
+			for _, e := range entries {
+				got = append(got, e.Name)
+				if !owed[e.Name] {
+					t.Fatalf("operation %d: %s is owed, over %v", at, e.Name, over[e.Name])
+				}
+			}
+			if len(got) != len(owed) {
+				t.Fatalf("operation %d: owed %v, want %d", at, got, len(owed))
+			}
+			if at > last {
+				break
+			}
+		}
+	}
+}
+
+// Ends at random moments, with what a killed process leaves: all that was written. The next process owes the same.
+func TestKilledAtRandom(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		fs := disk.NewMemory()
+		l := open(t, fs, 32<<10)
+		owed, notices := map[string]bool{}, map[string]bool{}
+		next := 0
+		for range 8 {
+			dead := errors.New("killed")
+			left := 20 + rng.IntN(200)
+			fs.SetFail(func(string, string) error {
+				if left--; left < 0 {
+					return dead
+				}
+				return nil
+			})
+			for left >= 0 {
+				var name string
+				if all := slices.Sorted(maps.Keys(owed)); len(all) > 0 {
+					name = all[rng.IntN(len(all))]
+				}
+				if len(notices) > 20 { // the platform takes them in the end
+					all := slices.Sorted(maps.Keys(notices))
+					_ = l.Acked(all)
+					clear(notices)
+				}
+				switch k := rng.IntN(5); {
+				case k < 2:
+					name = fmt.Sprint("m", next)
+					next++
+					if l.Take(&Entry{Name: name, Class: "k", Body: make([]byte, rng.IntN(900))}) == nil {
+						owed[name] = true
+					}
+				case name == "":
+				case k == 2:
+					_ = l.Over(name) // over it is, whatever the disk says
+					delete(owed, name)
+				case k == 3 && l.End(Notice{Name: name}) == nil:
+					delete(owed, name)
+					notices[name] = true
+				default:
+					_ = l.Out([]string{name}, 1, 0)
+				}
+			}
+			fs.SetFail(nil)
+			l = reopen(t, l, fs, 32<<10)
+			entries, pending := l.Owed()
+			have, told := map[string]bool{}, map[string]bool{}
+			for _, e := range entries {
+				have[e.Name] = true
+			}
+			for _, x := range pending {
+				told[x.Name] = true
+			}
+			for n := range owed {
+				if !have[n] && !told[n] { // the last operation may have been written, and its word lost
+					t.Fatalf("seed %d: %s is lost", seed, n)
+				}
+			}
+			for n := range notices {
+				if !told[n] {
+					t.Fatalf("seed %d: the notice of %s is lost", seed, n)
+				}
+			}
+			owed, notices = have, told
+		}
+	}
+}
+
+func TestRulesLeaveRoomForACompaction(t *testing.T) {
+	r := rules{room: 1000}
+	if !r.takes(0, 300) || r.takes(300, 100) || r.takes(0, 400) {
+		t.Error("what may be owed is not bounded as said")
+	}
+	if r.compacts(300, 600, 100) || !r.compacts(300, 601, 100) {
+		t.Error("a compaction comes too early or too late")
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	one, _ := line(nil, &record{Form: form})
+	one, _ = line(one, &record{Take: &Entry{Name: "a", Class: "k"}})
+	one, _ = line(one, &record{Out: &sent{Names: []string{"a"}, At: 3}})
+	f.Add(one)
+	f.Add(slices.Concat(one, []byte{1, 2, 3}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		x := newBook()
+		_ = x.load(b)
+		if x.live < 0 {
+			t.Fatalf("%d bytes live", x.live)
+		}
+	})
+}
--- /dev/null
+++ b/internal/outbound/http1_test.go
@@ -0,0 +1,236 @@
+package outbound
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"whinrun/control"
+	"whinrun/internal/engine"
+	"whinrun/internal/h1"
+	"whinrun/internal/opener"
+)
+
+// plain calls: the body is the request's name.
+type plain struct{ addr netip.AddrPort }
+
+func (p plain) Address(control.Endpoint) (netip.AddrPort, bool) { return p.addr, true }
+func (p plain) Request(b []byte, as []*engine.Attempt, _ []time.Duration) []byte {
+	return h1.AppendHead(b, "POST /"+as[0].Msg.Name+" HTTP/1.1", "Content-Length", "0")
+}
+func (p plain) Answer(as []*engine.Attempt, head *h1.Response, _ []byte) []engine.End {
+	ends := make([]engine.End, len(as))
+	for i := range ends {
+		ends[i] = engine.End{Kind: engine.Answered, Status: head.Status}
+	}
+	return ends
+}
+func (p plain) Assured(as []*engine.Attempt, status int) (engine.End, bool) {
+	return engine.End{Kind: engine.Answered, Status: status}, status == 200 && len(as) == 1
+}
+
+// rig is a Pool and a peer whose connections the test has in its hand.
+type rig struct {
+	t     *testing.T
+	p     *Pool
+	clock engine.Clock
+	conns chan net.Conn
+	ends  chan engine.End
+	seq   uint64
+	once  sync.Once
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, clock: engine.NewRealClock(), conns: make(chan net.Conn, 16), ends: make(chan engine.End, 64)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r.conns <- c
+		}
+	}()
+	cfg := Config{Loops: 1, Conns: 3, Streams: 1, ConnectTimeout: time.Second, Idle: time.Minute, MaxAnswer: 1000,
+		Opening: opener.Budget{PerSecond: 1000, Opening: 2, Total: 3}}
+	r.p, err = New(cfg, NewHTTP1(plain{netip.MustParseAddrPort(ln.Addr().String())}), r.clock, func(e engine.End) { r.ends <- e })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.p.Close()
+		_ = ln.Close()
+	})
+	return r
+}
+
+func (r *rig) start(names ...string) (call []*engine.Attempt) {
+	for _, n := range names {
+		r.seq++
+		call = append(call, &engine.Attempt{Seq: r.seq, Msg: &engine.Message{Name: n}, Endpoint: 1, Due: r.clock.Now() + 20*control.Second})
+	}
+	r.p.Start(call)
+	return call
+}
+
+func (r *rig) conn() net.Conn {
+	r.t.Helper()
+	select {
+	case c := <-r.conns:
+		return c
+	case <-time.After(5 * time.Second):
+		r.t.Fatal("no connection came")
+		return nil
+	}
+}
+
+// read reads what is written next.
+func (r *rig) read(c net.Conn) string {
+	r.t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	b := make([]byte, 4096)
+	n, err := c.Read(b)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return string(b[:n])
+}
+
+func (r *rig) want(kind engine.EndKind, status int) {
+	r.t.Helper()
+	select {
+	case e := <-r.ends:
+		if e.Kind != kind || e.Status != status {
+			r.t.Errorf("end %+v, want kind %d, status %d", e, kind, status)
+		}
+	case <-time.After(5 * time.Second):
+		r.t.Fatal("no end came")
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+// A used connection is used again; one that its peer has closed meanwhile is not written on, and nothing fails.
+func TestConnectionUsedAgain(t *testing.T) {
+	r := newRig(t)
+	r.start("a")
+	c := r.conn()
+	r.read(c)
+	_, _ = c.Write([]byte(okAnswer))
+	r.want(engine.Answered, 200)
+	r.start("b")
+	if got := r.read(c); !strings.Contains(got, "/b") {
+		t.Errorf("%q on the connection used before", got)
+	}
+	_, _ = c.Write([]byte(okAnswer))
+	r.want(engine.Answered, 200)
+	_ = c.Close()
+	r.start("c")
+	d := r.conn()
+	r.read(d)
+	_, _ = d.Write([]byte(okAnswer))
+	r.want(engine.Answered, 200)
+}
+
+// Giving up closes the connection, and only then the end is told; what is left of an answer harms nobody.
+func TestGivingUpCloses(t *testing.T) {
+	r := newRig(t)
+	call := r.start("a")
+	c := r.conn()
+	r.read(c)
+	r.p.Abandon(call[0], engine.CalledOff)
+	r.want(engine.CalledOff, 0)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("the connection is open: %v", err)
+	}
+}
+
+// Of several messages in a call one may run out of time: the others wait on, on the same connection.
+func TestOneOfSeveralOutOfTime(t *testing.T) {
+	r := newRig(t)
+	call := r.start("a", "b")
+	c := r.conn()
+	r.read(c)
+	r.p.Abandon(call[0], engine.OutOfTime)
+	r.want(engine.OutOfTime, 0)
+	_, _ = c.Write([]byte("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"))
+	r.want(engine.Answered, 500)
+}
+
+// An attempt that waits for a connection can be taken back: it has not run.
+func TestUnsendWhileWaiting(t *testing.T) {
+	r := newRig(t)
+	var calls [][]*engine.Attempt
+	for range 4 { // one more than connections are allowed
+		calls = append(calls, r.start("x"))
+	}
+	for range 3 {
+		r.read(r.conn())
+	}
+	r.p.Unsend(calls[0][0]) // written: it stays out
+	waiting := calls[3][0]
+	r.p.mu.Lock()
+	for _, k := range calls {
+		if x := r.p.tasks[k[0].Seq]; x != nil && x.call.conn == nil {
+			waiting = k[0]
+		}
+	}
+	r.p.mu.Unlock()
+	r.p.Unsend(waiting)
+	select {
+	case e := <-r.ends:
+		if e.Seq != waiting.Seq || e.Kind != engine.Unsent {
+			t.Errorf("end %+v", e)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("no end came")
+	}
+}
+
+// The first line that says 200 is enough, whatever becomes of the rest; without it a broken answer may have run.
+func TestFirstLineDecides(t *testing.T) {
+	for text, want := range map[string]engine.EndKind{
+		"HTTP/1.1 200 OK\r\n":                              engine.Answered,
+		"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nabc": engine.Answered,
+		"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\n":        engine.Answered,
+		"HTTP/1.1 200": engine.ResetUnanswered,
+		"HTTP/1.1 500 x\r\nContent-Length: 50\r\n\r\nabc": engine.ResetMidAnswer,
+		"noise": engine.Malformed,
+		"HTTP/1.1 500 x\r\nContent-Length: 3221225472\r\n\r\nab": engine.Malformed,
+	} {
+		r := newRig(t)
+		r.start("a")
+		c := r.conn()
+		r.read(c)
+		_, _ = c.Write([]byte(text))
+		_ = c.Close()
+		status := 0
+		if want == engine.Answered {
+			status = 200
+		}
+		r.want(want, status)
+	}
+}
+
+// A head that promises enough and a body that never ends: the message is not kept waiting.
+func TestBodyThatStalls(t *testing.T) {
+	r := newRig(t)
+	r.start("a")
+	c := r.conn()
+	r.read(c)
+	start := time.Now()
+	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nabc"))
+	r.want(engine.Answered, 200)
+	if took := time.Since(start); took > 3*time.Second {
+		t.Errorf("it took %v", took)
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -241,7 +241,9 @@
 		st := n.loop.Stats()
 		gone := n.elapsed() - begun
 		quiet := st.Out == 0 && n.notes.waiting() == 0
-		if gone > stopWithin || quiet && (st.Open == 0 && gone > time.Second || gone > time.Duration(stopCalls)*time.Microsecond) {
+		// Also with nothing left to do it stays: a client that is told when to come back fares better than one that
+		// finds nobody.
+		if gone > stopWithin || quiet && gone > time.Duration(stopCalls)*time.Microsecond {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -242,12 +242,11 @@
 }
 
 func (s *session) submit(now time.Duration, m *engine.Message, last bool) {
-	err := engine.ErrStopping
-	if !s.d.closing.Load() && s.d.ready() {
+	if s.d.ready() { // while this dispatcher stops it is the module that refuses
 		a := &ask{s: s, d: s.d, close: last}
 		m.Origin = a
 		s.ask = a
-		if err = s.room.Submit(m); err == nil {
+		if s.room.Submit(m) == nil {
 			return
 		}
 	}
@@ -383,6 +382,11 @@
 	}
 }
 
+// Idle is front.Idler.
+func (s *session) Idle() (time.Duration, bool) {
+	return s.last, s.ask == nil && len(s.in) == 0 && !s.over
+}
+
 // Output is front.Session.
 func (s *session) Output() []byte {
 	out := s.out
--- /dev/null
+++ b/internal/platform/stage/check_test.go
@@ -0,0 +1,51 @@
+package stage
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each rule broken by a planted fault is told, and a clean day is not blamed.
+func TestPlantedFaults(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	rules := Rules{Slack: 300 * time.Millisecond, Grace: time.Second, Once: []string{"once"}, InOrder: []string{"turns"}, ColdBudget: 2,
+		ColdWindow: time.Second, WaitExcused: 100 * time.Millisecond}
+	taken := func(ms int, name, class, key string) Event {
+		return Event{At: at(ms), Kind: Taken, Name: name, Class: class, Key: key, Due: at(ms + 2000)}
+	}
+	call := func(ms int, name string, n int) Event {
+		return Event{At: at(ms), Kind: Called, Name: name, Host: "h", Call: n, Dest: 1}
+	}
+	back := func(ms int, name string, n, status int) Event {
+		return Event{At: at(ms), Kind: Answered, Name: name, Host: "h", Call: n, Dest: 1, Status: status}
+	}
+	wait := back(10, "b", 2, 429)
+	wait.Wait = time.Second
+	for _, c := range []struct {
+		name, want string
+		events     []Event
+	}{
+		{"clean", "", []Event{taken(0, "a", "free", ""), call(1, "a", 1), back(2, "a", 1, 500), call(3, "a", 2), back(4, "a", 2, 200)}},
+		{"ended by a notice", "", []Event{taken(0, "a", "once", ""), {At: at(2000), Kind: Noticed, Name: "a"}}},
+		{"refused and sent again", "", []Event{taken(0, "a", "once", ""), call(1, "a", 1), back(2, "a", 1, 503), call(3, "a", 2), back(4, "a", 2, 200)}},
+		{"no end", "rule 1", []Event{taken(0, "a", "free", ""), call(1, "a", 1), back(2, "a", 1, 500)}},
+		{"an end too late", "rule 1", []Event{taken(0, "a", "free", ""), {At: at(2400), Kind: Noticed, Name: "a"}}},
+		{"called after its notice", "rule 1", []Event{taken(0, "a", "free", ""), {At: at(5), Kind: Noticed, Name: "a"}, call(6, "a", 1)}},
+		{"called after delivery", "rule 1", []Event{taken(0, "a", "free", ""), call(1, "a", 1), back(2, "a", 1, 200), call(6, "a", 2)}},
+		{"sent twice", "rule 2", []Event{taken(0, "a", "once", ""), call(1, "a", 1), {At: at(2), Kind: Broke, Name: "a", Host: "h", Call: 1}, call(6, "a", 2)}},
+		{"two out", "rule 2", []Event{taken(0, "a", "free", ""), call(1, "a", 1), call(6, "a", 2), back(7, "a", 2, 200)}},
+		{"after a drain", "rule 3", []Event{taken(0, "a", "free", ""), {At: at(1), Kind: Listed, Host: "h", Health: "draining"}, call(1200, "a", 1), back(1201, "a", 1, 200)}},
+		{"within the grace", "", []Event{taken(0, "a", "free", ""), {At: at(1), Kind: Listed, Host: "h", Health: "gone"}, call(800, "a", 1), back(801, "a", 1, 200)}},
+		{"pushed over", "rule 4", []Event{{At: at(0), Kind: Outage, Host: "h"}, call(1, "a", 1), call(2, "b", 2), call(3, "c", 3)}},
+		{"out of turn", "rule 5", []Event{taken(0, "a", "turns", "k"), taken(1, "b", "turns", "k"), call(5, "b", 1), back(6, "b", 1, 200), call(7, "a", 2), back(8, "a", 2, 200)}},
+		{"within a wait", "rule 6", []Event{taken(0, "a", "free", ""), call(1, "b", 2), wait, call(500, "a", 1), back(501, "a", 1, 200)}},
+		{"after a restart", "", []Event{taken(0, "a", "free", ""), call(1, "b", 2), wait, {At: at(400), Kind: Restarted}, call(500, "a", 1), back(501, "a", 1, 200)}},
+	} {
+		got := strings.Join(Check(c.events, rules, at(10000)), "; ")
+		if c.want == "" && got != "" || !strings.Contains(got, c.want) {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/stage/stage.go
@@ -0,0 +1,523 @@
+// Package stage is a stand-in for the platform: clients, endpoints, discovery and the place for notices, on loopback.
+// Everything that passes on its sockets is written down, faults are played on command, and Check tells which rule was
+// broken. It knows the protocol of the platform, and nothing of the dispatcher.
+package stage
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"whinrun/internal/h1"
+)
+
+// Reply is what an endpoint does with a call.
+type Reply struct {
+	After  time.Duration
+	Status int           // of a plain answer
+	Wait   time.Duration // told by Retry-After
+	Head   []string      // further fields, pairs of name and value
+	Body   string
+	Raw    string // instead of all that: these bytes; Status tells what they are worth to the checker
+	Hang   bool   // say nothing
+	Drop   bool   // end the connection instead of an answer
+	Then   string // bytes behind the answer
+	Close  bool   // end the connection behind it
+}
+
+// Call is a call as it came.
+type Call struct {
+	Host  string
+	Dest  int
+	Names []string
+	N     int // number of the call
+	Keys  []string
+	Body  string
+}
+
+// Stage is the stand-in.
+type Stage struct {
+	mu     sync.Mutex
+	events []Event
+	calls  int
+	change chan struct{} // closed at each event
+	agents []*Agent
+}
+
+// New makes an empty stage.
+func New() *Stage { return &Stage{change: make(chan struct{})} }
+
+// Note writes an event down.
+func (s *Stage) Note(all ...Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, e := range all {
+		if e.At.IsZero() {
+			e.At = now
+		}
+		s.events = append(s.events, e)
+	}
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+// Events returns what has passed.
+func (s *Stage) Events() []Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.events[:len(s.events):len(s.events)]
+}
+
+// Await waits until what has passed is enough, or the time is over; it tells whether it was.
+func (s *Stage) Await(within time.Duration, enough func([]Event) bool) bool {
+	over := time.After(within)
+	for {
+		s.mu.Lock()
+		events, change := s.events[:len(s.events):len(s.events)], s.change
+		s.mu.Unlock()
+		if enough(events) {
+			return true
+		}
+		select {
+		case <-change:
+		case <-over:
+			return false
+		}
+	}
+}
+
+// Count counts events of a kind; name may be empty for all.
+func Count(events []Event, k Kind, name string) (n int) {
+	for _, e := range events {
+		if e.Kind == k && (name == "" || e.Name == name) {
+			n++
+		}
+	}
+	return n
+}
+
+// Endpoint is one stand-in endpoint.
+type Endpoint struct {
+	s    *Stage
+	Host string
+	Dest int
+	Addr string
+	ln   net.Listener
+
+	mu    sync.Mutex
+	act   func(c Call) Reply
+	conns map[net.Conn]bool
+	Conns int // taken so far
+}
+
+// Endpoint opens an endpoint; addr may be empty for a free port, or that of one that has closed.
+func (s *Stage) Endpoint(host string, dest int, addr string, act func(Call) Reply) (*Endpoint, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	e := &Endpoint{s: s, Host: host, Dest: dest, Addr: ln.Addr().String(), ln: ln, act: act, conns: map[net.Conn]bool{}}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.conns[c] = true
+			e.Conns++
+			e.mu.Unlock()
+			go e.serve(c)
+		}
+	}()
+	return e, nil
+}
+
+// Act changes what the endpoint does.
+func (e *Endpoint) Act(act func(Call) Reply) {
+	e.mu.Lock()
+	e.act = act
+	e.mu.Unlock()
+}
+
+// Close ends the endpoint and its connections.
+func (e *Endpoint) Close() {
+	_ = e.ln.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		_ = c.Close()
+	}
+}
+
+// Opened counts the connections taken so far.
+func (e *Endpoint) Opened() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Conns
+}
+
+func (e *Endpoint) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		e.mu.Lock()
+		delete(e.conns, c)
+		e.mu.Unlock()
+	}()
+	var in []byte
+	for {
+		r, body, rest, err := readRequest(c, in)
+		if err != nil {
+			return
+		}
+		in = rest
+		if !e.call(c, r, body) {
+			return
+		}
+	}
+}
+
+// readRequest reads one request with its body.
+func readRequest(c net.Conn, in []byte) (r *h1.Request, body, rest []byte, err error) {
+	buf := make([]byte, 32<<10)
+	for {
+		r, n, err := h1.ParseRequest(in)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		if n > 0 && len(in) >= n+int(r.Length) {
+			return r, in[n : n+int(r.Length)], in[n+int(r.Length):], nil
+		}
+		m, err := c.Read(buf)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		in = append(in, buf[:m]...)
+	}
+}
+
+// call plays one call; false ends the connection.
+func (e *Endpoint) call(c net.Conn, r *h1.Request, body []byte) bool {
+	k := Call{Host: e.Host, Dest: e.Dest, Body: string(body)}
+	if r.Target == "/inbox/bulk" {
+		k.Names, k.Keys = bulkNames(string(body))
+	} else {
+		k.Names, k.Keys = []string{r.Fields.Get("x-txn")}, []string{r.Fields.Get("idempotency-key")}
+	}
+	e.s.mu.Lock()
+	e.s.calls++
+	k.N = e.s.calls
+	e.s.mu.Unlock()
+	e.note(k, Event{Kind: Called})
+	e.mu.Lock()
+	act := e.act
+	e.mu.Unlock()
+	p := act(k)
+	gone := make(chan struct{})
+	if p.After > 0 || p.Hang {
+		// Only the dispatcher's end of the connection is watched meanwhile: no second request may come.
+		go func() {
+			defer close(gone)
+			_, _ = c.Read(make([]byte, 1))
+		}()
+		var over <-chan time.Time
+		if !p.Hang {
+			over = time.After(p.After)
+		}
+		select {
+		case <-gone:
+			e.note(k, Event{Kind: Broke})
+			return false
+		case <-over:
+			_ = c.SetReadDeadline(time.Now())
+			<-gone
+			_ = c.SetReadDeadline(time.Time{})
+		}
+	}
+	if p.Drop {
+		e.note(k, Event{Kind: Broke})
+		return false
+	}
+	text := p.Raw
+	if text == "" {
+		text = answer(p, k)
+	}
+	e.note(k, Event{Kind: Answered, Status: p.Status, Wait: p.Wait})
+	if _, err := io.WriteString(c, text+p.Then); err != nil {
+		return false
+	}
+	return !p.Close
+}
+
+func answer(p Reply, k Call) string {
+	body := p.Body
+	if p.Status == 200 && len(k.Names) > 1 && body == "" {
+		for _, n := range k.Names {
+			body += n + " done\r\n"
+		}
+	}
+	pairs := append([]string{"Content-Length", strconv.Itoa(len(body))}, p.Head...)
+	if p.Wait > 0 {
+		pairs = append(pairs, "Retry-After", strconv.FormatFloat(p.Wait.Seconds(), 'f', 3, 64))
+	}
+	return string(h1.AppendHead(nil, fmt.Sprintf("HTTP/1.1 %d x", p.Status), pairs...)) + body
+}
+
+func (e *Endpoint) note(k Call, x Event) {
+	x.Host, x.Dest, x.Call = k.Host, k.Dest, k.N
+	all := make([]Event, len(k.Names))
+	for i, n := range k.Names {
+		all[i] = x
+		all[i].Name = n
+	}
+	e.s.Note(all...)
+}
+
+func bulkNames(body string) (names, keys []string) {
+	for len(body) > 0 {
+		line, rest, _ := strings.Cut(body, "\r\n")
+		f := strings.Fields(line)
+		if len(f) != 3 {
+			return names, keys
+		}
+		n, _ := strconv.Atoi(f[2])
+		if n+2 > len(rest) {
+			return names, keys
+		}
+		names, keys, body = append(names, f[0]), append(keys, f[1]), rest[n+2:]
+	}
+	return names, keys
+}
+
+// Host is an endpoint as the list has it.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+}
+
+// Agent is discovery and the place for notices.
+type Agent struct {
+	s    *Stage
+	Addr string
+	srv  *http.Server
+
+	mu     sync.Mutex
+	seq    int
+	hosts  map[string]Host
+	lines  []string // changes since the start, by version
+	more   chan struct{}
+	mute   bool
+	status int // of answers to notices, 0 for 204
+	conns  int
+}
+
+// Agent opens discovery.
+func (s *Stage) Agent() (*Agent, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{s: s, Addr: ln.Addr().String(), hosts: map[string]Host{}, more: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/endpoints", a.list)
+	mux.HandleFunc("POST /v1/outcomes", a.outcomes)
+	a.srv = &http.Server{Handler: mux}
+	go func() { _ = a.srv.Serve(ln) }()
+	s.mu.Lock()
+	s.agents = append(s.agents, a)
+	s.mu.Unlock()
+	return a, nil
+}
+
+// Close ends it.
+func (a *Agent) Close() { _ = a.srv.Close() }
+
+// Mute has discovery say nothing any more, or speak again.
+func (a *Agent) Mute(on bool) {
+	a.mu.Lock()
+	a.mute = on
+	a.wake()
+	a.mu.Unlock()
+}
+
+// Fail has notices answered with a status, 0 for as usual.
+func (a *Agent) Fail(status int) {
+	a.mu.Lock()
+	a.status = status
+	a.mu.Unlock()
+}
+
+func (a *Agent) wake() {
+	close(a.more)
+	a.more = make(chan struct{})
+}
+
+// Set tells of a change of a host.
+func (a *Agent) Set(all ...Host) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.seq++
+	for _, h := range all {
+		a.hosts[h.Host] = h
+		if h.Health == "gone" {
+			delete(a.hosts, h.Host)
+		}
+		a.s.Note(Event{Kind: Listed, Host: h.Host, Health: h.Health})
+	}
+	text, _ := json.Marshal(map[string]any{"seq": a.seq, "whole": false, "hosts": all})
+	a.lines = append(a.lines, string(text))
+	a.wake()
+}
+
+// Whole returns the whole list.
+func (a *Agent) Whole() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	hosts := []Host{}
+	for _, h := range a.hosts {
+		hosts = append(hosts, h)
+	}
+	text, _ := json.Marshal(map[string]any{"seq": a.seq, "whole": true, "hosts": hosts})
+	return string(text)
+}
+
+func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("watch") == "" {
+		_, _ = io.WriteString(w, a.Whole())
+		return
+	}
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	flush := w.(http.Flusher)
+	if from > 0 && from <= a.version() {
+		flush.Flush()
+	} else {
+		from = a.version()
+		_, _ = io.WriteString(w, a.Whole()+"\n")
+		flush.Flush()
+	}
+	for {
+		a.mu.Lock()
+		var news []string
+		if !a.mute {
+			news = a.lines[from:]
+			from = len(a.lines)
+		}
+		more, mute := a.more, a.mute
+		a.mu.Unlock()
+		for _, l := range news {
+			_, _ = io.WriteString(w, l+"\n")
+		}
+		flush.Flush()
+		select {
+		case <-more:
+		case <-time.After(2 * time.Second):
+			if !mute {
+				_, _ = io.WriteString(w, "\n")
+				flush.Flush()
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) version() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.seq
+}
+
+func (a *Agent) outcomes(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	status := a.status
+	a.mu.Unlock()
+	if status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	dec := json.NewDecoder(r.Body)
+	for {
+		var o struct {
+			ID     string `json:"id"`
+			Status string `json:"status"`
+			Again  int64  `json:"again_ms"`
+		}
+		if err := dec.Decode(&o); err != nil {
+			break
+		}
+		a.s.Note(Event{Kind: Noticed, Name: o.ID, Text: o.Status, Wait: time.Duration(o.Again) * time.Millisecond})
+	}
+	w.WriteHeader(204)
+}
+
+// Message is what a client hands in.
+type Message struct {
+	Name, Class, Tenant, Key, Order string
+	Dest                            int
+	Left                            time.Duration
+	Body                            string
+}
+
+// Hand hands a message in on a connection of its own, and returns the status of the answer, 0 for none in time.
+func (s *Stage) Hand(addr string, m Message) int {
+	sent := time.Now()
+	status := hand(addr, m)
+	e := Event{Kind: Refused, Name: m.Name, Status: status}
+	if status == 202 || status == 200 {
+		e = Event{Kind: Taken, Name: m.Name, Class: m.Class, Dest: m.Dest, Due: sent.Add(m.Left), Key: m.Order}
+	}
+	s.Note(e)
+	return status
+}
+
+func hand(addr string, m Message) int {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(400 * time.Millisecond))
+	if _, err := c.Write(Form(m)); err != nil {
+		return 0
+	}
+	var in []byte
+	buf := make([]byte, 4096)
+	for {
+		n, err := c.Read(buf)
+		in = append(in, buf[:n]...)
+		if r, size, perr := h1.ParseResponse(in); perr == nil && size > 0 {
+			return r.Status
+		}
+		if err != nil {
+			return 0
+		}
+	}
+}
+
+// Form is a message as it is handed in.
+func Form(m Message) []byte {
+	pairs := []string{"Host", "api.internal", "X-Txn", m.Name, "X-Lane", m.Class, "X-Org", m.Tenant, "X-Remaining",
+		strconv.FormatFloat(m.Left.Seconds(), 'f', 3, 64), "Content-Length", strconv.Itoa(len(m.Body)), "X-Consignee", fmt.Sprintf("dest=%d", m.Dest)}
+	if m.Key != "" {
+		pairs = append(pairs, "Idempotency-Key", m.Key)
+	}
+	if m.Order != "" {
+		pairs = append(pairs, "X-Entity", "key="+m.Order)
+	}
+	return append(h1.AppendHead(nil, "POST /"+m.Class+" HTTP/1.1", pairs...), m.Body...)
+}
