--- a/cmd/whinrun/node.go
+++ b/cmd/whinrun/node.go
@@ -16,8 +16,9 @@
 // Settings of the program itself on the platform. Threads that wait for a socket must not keep others from running: so
 // there are more of them than cores.
 const (
-	nodeThreads  = 4
-	nodeLogLines = 20 // a second
+	nodeThreads   = 4
+	nodeLogLines  = 20    // a second
+	traceLogLines = 10000 // a second, with WHINRUN_TRACE set
 )
 
 func (nodeCmd) Run() error {
@@ -25,7 +26,11 @@
 	if err != nil {
 		return errUsage{err}
 	}
-	log, err := logs.New(os.Stdout, "info", nodeLogLines)
+	level, lines := "info", float64(nodeLogLines)
+	if cfg.Trace = os.Getenv("WHINRUN_TRACE") != ""; cfg.Trace {
+		level, lines = "debug", traceLogLines
+	}
+	log, err := logs.New(os.Stdout, level, lines)
 	if err != nil {
 		return errUsage{err}
 	}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -26,6 +26,7 @@
 	Known     List // the endpoint list as it was last had
 	Settings  control.Settings
 	Zones     []string // names, in the order of their numbers
+	Trace     bool     // log what happens to each message
 	Reports   []string // names of the values of a load report, in order
 }
 
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -26,6 +26,7 @@
 
 // place is one endpoint that is listed, or was a short while ago.
 type place struct {
+	host  string
 	entry control.Entry
 	addr  netip.AddrPort
 	gone  time.Duration // when it left the list, 0 if it is there
@@ -106,7 +107,7 @@
 	}
 	if p == nil {
 		d.next++
-		p = &place{}
+		p = &place{host: h.Name}
 		p.entry.Endpoint = d.next
 		d.hosts[h.Name], d.byID[d.next] = p, p
 	}
@@ -151,6 +152,16 @@
 	return p.addr, true
 }
 
+// Host is the name of an endpoint, for logs.
+func (d *Directory) Host(ep control.Endpoint) string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if p := d.byID[ep]; p != nil {
+		return p.host
+	}
+	return "unknown"
+}
+
 // Knows tells whether a destination is listed, or was a short while ago.
 func (d *Directory) Knows(dest int) bool {
 	d.mu.RLock()
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -92,7 +92,11 @@
 		return err
 	}
 	keep := &keeper{n.ledger, set, n.clock, n.warn("ledger")}
-	core, err := engine.NewCore(engine.Policy{Settings: *set, Ledger: keep, Judge: Judge, CallSize: maxBody}, cfg.Seed, n.pool, lists{n}, n)
+	policy := engine.Policy{Settings: *set, Ledger: keep, Judge: Judge, CallSize: maxBody}
+	if cfg.Trace {
+		policy.Trail = trace{n.log, n.dir}
+	}
+	core, err := engine.NewCore(policy, cfg.Seed, n.pool, lists{n}, n)
 	if err != nil {
 		n.pool.Close()
 		return err
--- /dev/null
+++ b/internal/platform/trace.go
@@ -0,0 +1,36 @@
+package platform
+
+import (
+	"whinrun/control"
+	"whinrun/internal/engine"
+	"whinrun/internal/logs"
+)
+
+// trace writes down, at the level debug, what happens to messages: an engine.Trail for finding causes.
+type trace struct {
+	log *logs.Logger
+	dir *Directory
+}
+
+func (t trace) Accepted(m *engine.Message) {
+	t.log.Debug("trace", "%s accepted: class %d, dest %d, life %d ms", m.Name, m.Class, m.Dest, m.Life/control.Millisecond)
+}
+
+func (t trace) Started(a *engine.Attempt) {
+	t.log.Debug("trace", "%s attempt %d to %s", a.Msg.Name, a.N, t.dir.Host(a.Endpoint))
+}
+
+func (t trace) Ended(a *engine.Attempt, e *engine.End, v engine.Verdict, after bool) {
+	t.log.Debug("trace", "%s attempt %d to %s ended: %s (%s), wait %d ms, after its end %v", a.Msg.Name, a.N, t.dir.Host(a.Endpoint), v.Why, e.Detail,
+		e.Wait/control.Millisecond, after)
+}
+
+func (t trace) Withdrawn(m *engine.Message) { t.log.Debug("trace", "%s withdrawn", m.Name) }
+
+func (t trace) Answered(m *engine.Message, a *engine.Answer) {
+	t.log.Debug("trace", "%s class %d dest %d is %v after %d attempts: %s; %s", m.Name, m.Class, m.Dest, a.Final, a.Tries, a.Reason, a.Why)
+}
+
+func (t trace) Learned(e *control.Entry) {
+	t.log.Debug("trace", "%s of dest %d listed, health %d", t.dir.Host(e.Endpoint), e.Dest, e.Health)
+}
