Single-shot messages go on new connections where kept ones are reset

Ruled out: writes on connections whose end was in the socket (the pool looks; all 84 were resets without a word). At fault: freshen looked at the idle age alone, and returned learned an idle age of some milliseconds. Change: a connection that broke counts as dropped at any age, but only an age of half a second and more is learned; while the share of drops of a kind is above 0.02 its single-shot messages get new connections. The doubt of a message is set in one place, for attempts here and of a process before.

--- a/control/control.go
+++ b/control/control.go
@@ -53,7 +53,8 @@
 	batchExtra  = 0.25              // push of each further message of a call on a cold endpoint
 	scarceFor   = 30 * Second       // connections count as scarce so long after the last sign of it
 	feeCalls    = 40                // calls that a fee of the whole result counts for in the choice of a route
-	leastIdle   = Second / 2        // idle age up to which a connection is not taken to have been dropped
+	leastIdle   = Second / 2        // idle age up to which silence does not tell of a dropped connection
+	onceDrops   = 0.02              // share of drops from which on single-shot messages get new connections
 	dropsSure   = 0.2               // share of calls on idle connections that fail before they count as dropped
 	keepShare   = 0.8               // idle connections are used up to this part of the age at which one failed
 	keepGrow    = 1.02              // growth of that age by an ok
@@ -191,7 +192,9 @@
 	d.count++
 	m := &message{id: e.Message, class: c, dest: d.dest(e.Dest), arrived: d.count, deadline: d.now + e.Grace}
 	m.born = m.deadline - c.Deadline
-	d.resume(m, e)
+	if m.tries = e.Attempt; e.Doubt { // a process that ended had it
+		d.mayRun(m, d.now-e.Lag, e.Zone)
+	}
 	m.over = d.overShare(e.Tenant)
 	m.lane = 2 * e.Class
 	if m.over {
@@ -225,17 +228,11 @@
 	d.hold(m)
 }
 
-// resume takes what a process that ended had done for a message: attempts count, doubt binds from when it
-// began, the key rests as after a reset. Guards against second effects after crashes; it hurts where the
-// attempt never ran.
-func (d *Dispatcher) resume(m *message, e *Event) {
-	if m.tries = e.Attempt; !e.Doubt {
-		return
-	}
-	m.doubt, m.doubtAt, m.doubtZone = true, d.now-e.Lag, e.Zone
-	if over := m.doubtAt + m.class.Window - d.set.Tick - d.now; m.class.Effect == Guarded && over > 0 {
-		d.out = append(d.out, Action{Kind: Timer, After: over, Mark: uint64(m.id) + 1})
-	}
+// mayRun binds a message to what its class allows: an attempt may have run, here or in a process before.
+func (d *Dispatcher) mayRun(m *message, at Time, zone int) {
+	m.doubt, m.doubtAt, m.doubtZone = true, at, zone
+	over := at + m.class.Window - d.set.Tick - d.now
+	d.out = append(d.out, Action{Kind: Timer, After: max(over, 0), Mark: uint64(m.id) + 1})
 }
 
 // overShare tells whether a tenant now sends more than its share, measured against what comes here.
@@ -291,7 +288,7 @@
 
 // closing cuts the time of all that is held, for a dispatcher that stops: each has its answer before that.
 // Guards against leaving clients without one. It could hurt by refusing what would soon have been served.
-// Where what is held is kept for the next process, only calls that may not end in time are not begun.
+// Where the next process goes on with what is held, only calls that may not end in time are not begun.
 func (d *Dispatcher) closing(in Time, kept bool) {
 	if kept {
 		d.stopAt = d.now + in
@@ -576,9 +573,7 @@
 	d.settle(c, e)
 	if !ranNot(e.Result) && e.Result != OK {
 		if !m.doubt {
-			m.doubt, m.doubtAt, m.doubtZone = true, c.sent, c.ep.zone
-			over := c.sent + m.class.Window - d.set.Tick - d.now
-			d.out = append(d.out, Action{Kind: Timer, After: max(over, 0), Mark: uint64(m.id) + 1})
+			d.mayRun(m, c.sent, c.ep.zone)
 		}
 		if m.key != nil && e.Result != Errored {
 			m.key.rest = d.now + d.set.SettleAfterDoubt
@@ -616,6 +611,7 @@
 
 func (d *Dispatcher) learn(c *call, e *Event) {
 	ep, t := c.ep, c.ep.dest
+	c.cut = e.Result == Reset
 	if i := d.set.ReportLimit; i >= 0 && i < len(e.Report) && e.Report[i] > 0 && e.Report[i] <= math.MaxFloat32 {
 		ep.pace.bound = float64(e.Report[i])
 	}
@@ -726,8 +722,8 @@
 	case !ep.proven:
 		k := ep.dest.kind
 		d.lost += float64(ep.bad) * lostGain * (1 - d.lost)
-		if ep.dropped > leastIdle {
-			if k.drops += lostGain * (1 - k.drops); k.drops > dropsSure {
+		if ep.dropped > 0 {
+			if k.drops += lostGain * (1 - k.drops); k.drops > dropsSure && ep.dropped > leastIdle {
 				k.keep = min(k.keep, ep.dropped)
 			}
 		}
@@ -758,7 +754,9 @@
 	if c.sent >= ep.failedAt {
 		ep.bad++
 		ep.pace.bad++ // kept when an endpoint that failed leaves the list
-		ep.failedAt, ep.proven, ep.dropped = d.now, proven, c.idle
+		if ep.failedAt, ep.proven, ep.dropped = d.now, proven, c.idle; !c.cut && c.idle <= leastIdle {
+			ep.dropped = 0
+		}
 	}
 	ep.proven = ep.proven || proven // silence at first, then no connection: it was no lost answer
 	if ep.suspect {
@@ -876,7 +874,10 @@
 // tells how long the one that is used was idle. Guards against connections that were dropped unseen.
 func (d *Dispatcher) freshen(ep *endpoint) Time {
 	idle := d.now - ep.used
-	if len(ep.calls) > 0 || !ep.open {
+	if ep.open && ep.dest.kind.drops > onceDrops && ep.dest.holds(SingleShot) {
+		d.out = append(d.out, Action{Kind: Close, Endpoint: ep.id})
+		return 0
+	} else if len(ep.calls) > 0 || !ep.open {
 		return 0
 	} else if idle <= d.keep(ep.dest) && ep.dropped == 0 {
 		return idle
--- a/control/state.go
+++ b/control/state.go
@@ -71,6 +71,7 @@
 	msgs         []*message
 	left         int
 	trial, asked bool // a trial of a suspect; called off by us
+	cut          bool // its connection broke
 	idle         Time // how long the connection that it went out on had been idle, 0 if new or in use
 }
 
@@ -735,6 +736,11 @@
 	d.awaken(c.ep.dest)
 }
 
+// holds tells whether a message of a class with that effect is held.
+func (t *dest) holds(e Effect) bool {
+	return slices.ContainsFunc(t.lanes, func(l []*message) bool { return len(l) > 0 && l[0].class.Effect == e })
+}
+
 // each calls f for every message held.
 func (t *dest) each(f func(*message)) {
 	for i := range t.lanes {
