Restored messages end in the ledger; a dropped site leaves the new one alone

Seen on reading the change again. Core.record went by whether the sender had heard, so a restored message that the module ended in its first round was never taken off the ledger: it came back at each start, with a notice each time. Pool.grow dropped whatever site an endpoint had: an end reported for a dropped one could drop the one made since, and its attempts waited to their time's end for a connection that nobody opened. Lines of a list, and waits, each went through all attempts that are out; each send looked through all calls of its round, also where calls hold one message. Change: held.kept tells what the ledger has; grow drops only the site itself; what is taken back is looked through once a round, in order; join looks only where a kind takes several. A field that nothing read is out. Measured: both new tests fail on the old text.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -6,6 +6,8 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
+	"slices"
 
 	"whinrun/control"
 )
@@ -176,6 +178,7 @@
 	tries   int
 	ended   bool
 	fresh   bool // its sender has not heard yet that it is taken on
+	kept    bool // the ledger has it
 	out     *Attempt
 	lastWhy string
 	status  int
@@ -194,8 +197,10 @@
 	out    map[uint64]*Attempt
 	places map[control.Endpoint]Place
 	fresh  []*held
-	calls  [][]*Attempt    // of this round, not started yet
-	later  []control.Event // for the next round
+	calls  [][]*Attempt              // of this round, not started yet
+	shut   map[control.Endpoint]bool // told in this round to want nothing new ...
+	told   map[int]bool              // ... and destinations whose partner told a wait
+	later  []control.Event           // for the next round
 	timers timers
 	stale  int // timers of messages that are over
 	events []control.Event
@@ -210,7 +215,7 @@
 		return nil, fmt.Errorf("engine: %w", err)
 	}
 	return &Core{pol: p, mod: mod, back: back, lists: lists, log: log, msgs: map[control.MessageID]*held{}, out: map[uint64]*Attempt{},
-		places: map[control.Endpoint]Place{}}, nil
+		places: map[control.Endpoint]Place{}, shut: map[control.Endpoint]bool{}, told: map[int]bool{}}, nil
 }
 
 // Stats returns the counts so far.
@@ -237,6 +242,7 @@
 	for i := range in {
 		c.input(&in[i])
 	}
+	c.takeBack()
 	c.due()
 	told := len(c.events)
 	c.acts = c.mod.Step(now, c.events, c.acts[:0])
@@ -261,13 +267,13 @@
 		return !h.ended
 	}
 	h.fresh = false
-	if l := c.pol.Ledger; l != nil && !h.msg.Before.Restored {
+	if l := c.pol.Ledger; l != nil && !h.kept {
 		if err := l.Take(h.msg, h.due); err != nil {
 			c.later = append(c.later, control.Event{Kind: control.Withdrawn, Message: h.msg.ID})
-			h.fresh = true // nothing to take back
 			c.answer(h, Answer{Final: Refused, Wait: control.Second, Reason: err.Error()})
 			return false
 		}
+		h.kept = true
 	}
 	if t, ok := h.msg.Origin.(Taker); ok {
 		t.Taken(h.msg)
@@ -298,7 +304,7 @@
 	life = min(life, c.pol.Settings.Classes[m.Class].Deadline)
 	m.Taken = c.now
 	b := m.Before
-	h := &held{msg: m, due: c.now + life, fresh: true, tries: b.Tries}
+	h := &held{msg: m, due: c.now + life, fresh: true, kept: b.Restored, tries: b.Tries}
 	c.msgs[m.ID] = h
 	c.fresh = append(c.fresh, h)
 	c.stats.Taken++
@@ -334,7 +340,7 @@
 	c.events = append(c.events, control.Event{Kind: control.List, ListKind: l.Kind, Entries: l.Entries})
 }
 
-// listed keeps what a line of the list says; what was not written to an endpoint that wants nothing new never is.
+// listed keeps what a line of the list says.
 func (c *Core) listed(e *control.Entry) {
 	if e.Health == control.Gone {
 		delete(c.places, e.Endpoint)
@@ -343,25 +349,32 @@
 		c.places[e.Endpoint] = Place{e.Dest, e.Kind, e.Zone}
 	}
 	if e.Health != control.Ready {
-		c.unsend(func(a *Attempt) bool { return a.Endpoint == e.Endpoint })
+		c.shut[e.Endpoint] = true
 	}
 }
 
-func (c *Core) unsend(which func(*Attempt) bool) {
-	for _, a := range c.out {
-		if which(a) {
-			c.back.Unsend(a)
-		}
+// waits keeps what a partner told: of all its endpoints, or of one where routes are apart.
+func (c *Core) waits(a *Attempt) {
+	if k := a.Place.Kind; k >= 0 && k < len(c.pol.Settings.Kinds) && c.pol.Settings.Kinds[k].RoutesApart {
+		c.shut[a.Endpoint] = true
+		return
 	}
+	c.told[a.Place.Dest] = true
 }
 
-// waits keeps what a partner told: what was not written to it yet is taken back, to go when the wait is over.
-func (c *Core) waits(of *Attempt) {
-	k := of.Place.Kind
-	apart := k >= 0 && k < len(c.pol.Settings.Kinds) && c.pol.Settings.Kinds[k].RoutesApart
-	c.unsend(func(a *Attempt) bool {
-		return a.Endpoint == of.Endpoint || !apart && a.Place.Dest == of.Place.Dest
-	})
+// takeBack gives up what was not written yet to endpoints that this round told to want nothing now: it goes elsewhere,
+// or when the wait is over. All is looked through once a round, however many lines or waits came in it.
+func (c *Core) takeBack() {
+	if len(c.shut)+len(c.told) == 0 {
+		return
+	}
+	for _, seq := range slices.Sorted(maps.Keys(c.out)) {
+		if a := c.out[seq]; c.shut[a.Endpoint] || c.told[a.Place.Dest] {
+			c.back.Unsend(a)
+		}
+	}
+	clear(c.shut)
+	clear(c.told)
 }
 
 // end takes the end of an attempt: the answer leaves at once where this is it.
@@ -434,7 +447,7 @@
 
 // record has the ledger take an end down, before anybody is told.
 func (c *Core) record(h *held, a *Answer) {
-	if c.pol.Ledger != nil && !h.fresh {
+	if c.pol.Ledger != nil && h.kept {
 		c.pol.Ledger.Over(h.msg, a)
 	}
 }
@@ -511,10 +524,12 @@
 	if k := a.Place.Kind; k >= 0 && k < len(c.pol.Settings.Kinds) {
 		most = max(1, c.pol.Settings.Kinds[k].Batch)
 	}
-	for i, call := range c.calls {
-		if call[0].Endpoint == a.Endpoint && len(call) < most && c.fits(call, a) {
-			c.calls[i] = append(call, a)
-			return
+	if most > 1 { // else there is nothing to look for, in a round of very many
+		for i, call := range c.calls {
+			if call[0].Endpoint == a.Endpoint && len(call) < most && c.fits(call, a) {
+				c.calls[i] = append(call, a)
+				return
+			}
 		}
 	}
 	c.calls = append(c.calls, []*Attempt{a})
--- a/internal/engine/ledger_test.go
+++ b/internal/engine/ledger_test.go
@@ -161,6 +161,15 @@
 	}
 }
 
+// A restored message that can't be sent any more ends in the ledger, too: it must not come back at each start.
+func TestRestoredEndsOnRecord(t *testing.T) {
+	b, c := newBook(t)
+	in := b.msg(1, 2, 10)
+	in.Submit.Before = Before{Restored: true, Tries: c.pol.Settings.MaxTries}
+	c.Round(2*control.Second, []Input{in})
+	b.want(t, "over m1 true", "final m1 refused")
+}
+
 // Time that passed before the round took a message is not given again.
 func TestLateRound(t *testing.T) {
 	b, c := newBook(t)
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -199,11 +199,9 @@
 	if len(alive) == 0 {
 		return
 	}
-	k.started = true
 	switch err := c.l.start(now, k, alive); {
 	case err == nil:
 	case errors.Is(err, errNoRoom): // the limit fell, or the peer is closing, since it was put here
-		k.started = false
 		c.again(k, err.Error())
 	default:
 		for _, t := range alive {
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -196,6 +196,25 @@
 	}
 }
 
+// Ends of a site that was dropped leave the one made since alone: its wish for a connection would be lost with it.
+func TestDroppedSiteLeavesTheNewOne(t *testing.T) {
+	r := newRig(t)
+	old := &site{ep: 1}
+	r.start("a")
+	r.p.mu.Lock()
+	made := r.p.sites[1]
+	r.p.grow(old)
+	kept := r.p.sites[1] == made && made != nil
+	r.p.mu.Unlock()
+	if !kept {
+		t.Error("the new site is gone")
+	}
+	c := r.conn()
+	r.read(c)
+	_, _ = c.Write([]byte(okAnswer))
+	r.want(engine.Answered, 200)
+}
+
 // The first line that says 200 is enough, whatever becomes of the rest; without it a broken answer may have run.
 func TestFirstLineDecides(t *testing.T) {
 	for text, want := range map[string]engine.EndKind{
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -110,15 +110,13 @@
 // busyFor is how long after its last connection an endpoint counts as busy to the planner.
 const busyFor = 60 * control.Second
 
-// call is what goes out together: one attempt, or several where the protocol has bulk calls. All fields but started
-// are guarded by Pool.mu.
+// call is what goes out together: one attempt, or several where the protocol has bulk calls. Guarded by Pool.mu.
 type call struct {
-	site    *site
-	conn    *conn // where it was put, nil while it is pending
-	tasks   []*task
-	left    int  // tasks without an end
-	moved   bool // it lost the connection that it was put on before it was written
-	started bool // it was written; belongs to the event loop of conn
+	site  *site
+	conn  *conn // where it was put, nil while it is pending
+	tasks []*task
+	left  int  // tasks without an end
+	moved bool // it lost the connection that it was put on before it was written
 }
 
 // task is one attempt. ended, given and kind are guarded by Pool.mu; the rest belongs to the event loop of its conn.
@@ -263,7 +261,8 @@
 			s.wished = false
 			p.planner.Drop(uint64(s.ep))
 		}
-		if len(s.conns) == 0 && s.dialing == 0 && len(s.pending) == 0 {
+		// Ends that are still reported for a site dropped before must not drop the one made since.
+		if len(s.conns) == 0 && s.dialing == 0 && len(s.pending) == 0 && p.sites[s.ep] == s {
 			delete(p.sites, s.ep)
 		}
 		return
