--- a/cmd/whinrun/node_test.go
+++ b/cmd/whinrun/node_test.go
@@ -16,14 +16,6 @@
 	"whinrun/internal/platform/stage"
 )
 
-// nodeSettings are settings in the platform's form.
-const nodeSettings = `{"classes":[
- {"effect":"free","gain":2,"group":"all","hard-limit":4000000,"late-worth":0,"name":"status","target":1000000,"window":1000000},
- {"effect":"single_shot","gain":5,"group":"all","hard-limit":5000000,"late-worth":0.5,"name":"upload","target":1000000,"window":1000000}],
- "extra":{"batch-by-kind":[1],"slots":10},"host-types":["single"],"instances":1,"tick":5000,
- "limits":{"conn-idle":5000000,"connect-timeout":1500000,"max-open":60,"max-retry-after":2000000,"may-cancel":true,"most-tries":6,"retry-after":true},
- "rules":{"cold-from":0.5,"overload-for":2000000,"stop-sending-within":1000000,"tip-multiple":2,"warm-up":2000000}}`
-
 // node is the program on a stage, in a process of its own.
 type node struct {
 	t     *testing.T
@@ -53,9 +45,7 @@
 
 func (n *node) configure() {
 	n.t.Helper()
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":1},"known":%s,"settings":%s}`,
-		n.addr, n.agent.Addr, n.agent.Whole(), nodeSettings)
-	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(n.file, stage.Configuration(n.addr, n.agent), 0o600); err != nil {
 		n.t.Fatal(err)
 	}
 }
@@ -108,7 +98,7 @@
 					}
 					name := fmt.Sprintf("r%d-w%d-%d", round, w, i)
 					class := []string{"status", "upload"}[i%2]
-					if s.Hand(n.addr, stage.Message{Name: name, Class: class, Dest: 1, Left: 3 * time.Second, Body: name}) == 202 {
+					if s.Hand(n.addr, stage.Message{Name: name, Class: class, Tenant: "acme", Dest: 1, Left: 3 * time.Second, Body: name}) == 202 {
 						mu.Lock()
 						names = append(names, name)
 						mu.Unlock()
@@ -125,20 +115,7 @@
 		all.Wait()
 	}
 	n.start()
-	s.Await(8*time.Second, func(ev []stage.Event) bool {
-		ended := map[string]bool{}
-		for _, x := range ev {
-			if x.Kind == stage.Noticed || x.Kind == stage.Answered && x.Status == 200 {
-				ended[x.Name] = true
-			}
-		}
-		for _, name := range names {
-			if !ended[name] {
-				return false
-			}
-		}
-		return true
-	})
+	s.Await(8*time.Second, func(ev []stage.Event) bool { return stage.AllEnded(ev, names) })
 	for _, f := range stage.Check(s.Events(), stage.Rules{Slack: 2 * time.Second, Grace: time.Second, Once: []string{"upload"}, ColdBudget: 1 << 20,
 		WaitExcused: 150 * time.Millisecond, Lag: 100 * time.Millisecond}, time.Now()) {
 		t.Error(f)
@@ -172,7 +149,7 @@
 	n.configure()
 	_ = n.cmd.Process.Signal(syscall.SIGHUP)
 	old.Close()
-	if status := s.Hand(n.addr, stage.Message{Name: "m", Class: "upload", Dest: 1, Left: 3 * time.Second}); status != 202 {
+	if status := s.Hand(n.addr, stage.Message{Name: "m", Class: "upload", Tenant: "acme", Dest: 1, Left: 3 * time.Second}); status != 202 {
 		t.Fatalf("answer %d", status)
 	}
 	if !s.Await(5*time.Second, func(ev []stage.Event) bool { return stage.Count(ev, stage.Noticed, "m") > 0 }) {
--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -32,14 +32,7 @@
 
 // One returns the value of a field that must stand once at most; ok is false where it stands more often.
 func (f Fields) One(name string) (value string, ok bool) {
-	n := 0
-	for i := range f {
-		if f[i].Name == name {
-			value = f[i].Value
-			n++
-		}
-	}
-	return value, n <= 1
+	return f.Get(name), f.count(name) <= 1
 }
 
 // Get returns the first value of a field, "" if there is none.
@@ -79,19 +72,20 @@
 	Close   bool
 }
 
-// head finds the end of a head. n is 0 while it is not all there.
-func head(b []byte) (lines []byte, n int, err error) {
+// head finds the end of a head, and cuts its first line off. n is 0 while it is not all there.
+func head(b []byte) (first, rest []byte, n int, err error) {
 	end := bytes.Index(b, []byte("\r\n\r\n"))
+	if end < 0 && len(b) > MaxHead || end+4 > MaxHead {
+		return nil, nil, 0, ErrTooLarge
+	}
 	if end < 0 {
-		if len(b) > MaxHead {
-			return nil, 0, ErrTooLarge
-		}
-		return nil, 0, early(b)
+		return nil, nil, 0, early(b)
 	}
-	if end+4 > MaxHead {
-		return nil, 0, ErrTooLarge
+	if err := early(b[:end+2]); err != nil {
+		return nil, nil, 0, err
 	}
-	return b[:end+2], end + 4, nil
+	first, rest = line(b[:end+2])
+	return first, rest, end + 4, nil
 }
 
 // early tells what can be no head whatever follows. Guards against noise that would else be waited on to its end.
@@ -192,14 +186,10 @@
 // ParseRequest reads the head of a request from the front of b; n is its size, 0 while it is not all there. No
 // transfer coding is taken: a body's length is stated.
 func ParseRequest(b []byte) (r *Request, n int, err error) {
-	lines, n, err := head(b)
+	first, rest, n, err := head(b)
 	if n == 0 || err != nil {
 		return nil, 0, err
 	}
-	if err := early(lines); err != nil {
-		return nil, 0, err
-	}
-	first, rest := line(lines)
 	parts := bytes.Split(first, []byte(" "))
 	if len(parts) != 3 || !isToken(parts[0]) || len(parts[1]) == 0 {
 		return nil, 0, fmt.Errorf("%w: no request line", ErrSyntax)
@@ -255,14 +245,10 @@
 	if m := min(len(b), len(start)); string(b[:m]) != start[:m] {
 		return nil, 0, fmt.Errorf("%w: no status line", ErrSyntax)
 	}
-	lines, n, err := head(b)
+	first, rest, n, err := head(b)
 	if n == 0 || err != nil {
 		return nil, 0, err
 	}
-	if err := early(lines); err != nil {
-		return nil, 0, err
-	}
-	first, rest := line(lines)
 	r = &Response{}
 	if r.Status, err = statusLine(first); err != nil {
 		return nil, 0, err
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,16 +7,15 @@
 package ledger
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"whinrun/internal/disk"
+	"whinrun/internal/logstore"
 )
 
 // Faults of a ledger.
@@ -28,8 +27,6 @@
 const (
 	name, newName = "ledger", "ledger.new"
 	form          = 1
-	header        = 8 // length and checksum ahead of each line
-	maxLine       = 1 << 20
 )
 
 // Ledger is the file and what it adds up to. Its methods may be called from any goroutine.
@@ -90,15 +87,11 @@
 	return l.book.load(b)
 }
 
-// load applies the whole lines at the front of b.
+// load applies the whole lines at the front of text.
 func (b *book) load(text []byte) error {
-	for len(text) >= header {
-		n := binary.LittleEndian.Uint32(text)
-		if n > maxLine || int(n) > len(text)-header {
-			return nil
-		}
-		line := text[header : header+int(n)]
-		if crc32.ChecksumIEEE(line) != binary.LittleEndian.Uint32(text[4:]) {
+	for at := 0; at < len(text); {
+		line, next, err := logstore.NextRecord(text, at, 0)
+		if err != nil {
 			return nil
 		}
 		var r record
@@ -109,9 +102,9 @@
 			return fmt.Errorf("%w: %d", ErrForm, r.Form)
 		}
 		if r.Form == 0 {
-			b.apply(&r, header+int(n))
+			b.apply(&r, next-at)
 		}
-		text = text[header+int(n):]
+		at = next
 	}
 	return nil
 }
@@ -122,9 +115,7 @@
 	if err != nil {
 		return b, err
 	}
-	b = binary.LittleEndian.AppendUint32(b, uint32(len(text)))
-	b = binary.LittleEndian.AppendUint32(b, crc32.ChecksumIEEE(text))
-	return append(b, text...), nil
+	return logstore.AppendRecord(b, 0, text), nil
 }
 
 // compact writes a new file with what is owed alone, and puts it in the place of the old.
--- a/internal/logstore/format.go
+++ b/internal/logstore/format.go
@@ -62,14 +62,17 @@
 	return crc32.Update(crc32.Checksum(n[:], castagnoli), castagnoli, payload)
 }
 
-func appendRecord(b []byte, seq uint64, payload []byte) []byte {
+// AppendRecord appends a record as it stands in a file: length, checksum over seq and payload, payload. seq is its number
+// where the file has them, else 0.
+func AppendRecord(b []byte, seq uint64, payload []byte) []byte {
 	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
 	b = binary.LittleEndian.AppendUint32(b, checksum(seq, payload))
 	return append(b, payload...)
 }
 
-// nextRecord reads a record and tells where the next one begins.
-func nextRecord(b []byte, at int, seq uint64) (payload []byte, next int, err error) {
+// NextRecord reads the record at a place of b and tells where the next one begins. An error is ErrCorrupt: it is cut, or
+// not as it was written.
+func NextRecord(b []byte, at int, seq uint64) (payload []byte, next int, err error) {
 	if at+recordHead > len(b) {
 		return nil, at, fmt.Errorf("record %d: cut in its head: %w", seq, ErrCorrupt)
 	}
--- a/internal/logstore/read.go
+++ b/internal/logstore/read.go
@@ -107,7 +107,7 @@
 	s.last, s.marks = *g, nil
 	at := headSize
 	for at < len(b) {
-		payload, next, err := nextRecord(b, at, g.first+uint64(s.last.records))
+		payload, next, err := NextRecord(b, at, g.first+uint64(s.last.records))
 		if err != nil {
 			break
 		}
@@ -201,7 +201,7 @@
 	}
 	at := headSize
 	for seq := g.first; seq < g.first+uint64(g.records); seq++ {
-		payload, next, err := nextRecord(b, at, seq)
+		payload, next, err := NextRecord(b, at, seq)
 		if err != nil {
 			return fmt.Errorf("segment %x: %w", g.first, err)
 		}
--- a/internal/logstore/store.go
+++ b/internal/logstore/store.go
@@ -126,7 +126,7 @@
 	if len(s.pending) == 0 {
 		s.since, s.written = now, s.next
 	}
-	s.pending = appendRecord(s.pending, s.next, payload)
+	s.pending = AppendRecord(s.pending, s.next, payload)
 	for _, l := range labels {
 		s.labels = append(s.labels, tag{s.next, l})
 	}
--- a/internal/logstore/store_test.go
+++ b/internal/logstore/store_test.go
@@ -338,7 +338,7 @@
 // FuzzSegment opens a store over any bytes as its last segment: no crash, and what is read was checked.
 func FuzzSegment(f *testing.F) {
 	good := appendHead(nil, 1, time.Unix(1, 0))
-	good = appendRecord(appendRecord(good, 1, payload(1)), 2, payload(2))
+	good = AppendRecord(AppendRecord(good, 1, payload(1)), 2, payload(2))
 	f.Add(good)
 	f.Add(good[:50])
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -54,7 +55,6 @@
 	Block  int     `json:"block"`
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
-	Born   int64   `json:"born_ms"`
 }
 
 // file is the configuration as it stands in its file.
@@ -114,24 +114,15 @@
 		}
 		return nil, err
 	}
-	or := func(v, name string) string {
-		if v == "" {
-			v = env(name)
-		}
-		return v
-	}
-	c := &Config{Name: or(f.Name, "EDGE_NAME"), State: or(env("EDGE_STATE"), ""), Limits: f.Limits, Known: f.Known}
-	if c.State == "" {
-		c.State = f.State
-	}
+	c := &Config{Name: cmp.Or(f.Name, env("EDGE_NAME")), State: cmp.Or(env("EDGE_STATE"), f.State), Limits: f.Limits, Known: f.Known}
 	if c.State == "" {
 		return nil, errors.New("EDGE_STATE: not set")
 	}
 	var err error
-	if c.Listen, err = netip.ParseAddrPort(or(f.Listen, "EDGE_LISTEN")); err != nil {
+	if c.Listen, err = netip.ParseAddrPort(cmp.Or(f.Listen, env("EDGE_LISTEN"))); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	if c.Discovery, err = netip.ParseAddrPort(or(f.Discovery, "EDGE_DISCOVERY")); err != nil {
+	if c.Discovery, err = netip.ParseAddrPort(cmp.Or(f.Discovery, env("EDGE_DISCOVERY"))); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"whinrun/control"
-	"whinrun/internal/engine"
 )
 
 // Directory gives endpoints their names towards the module. An endpoint is its host: a new one at an old address is
@@ -169,9 +168,3 @@
 	_, ok := d.dests[dest]
 	return ok
 }
-
-// news makes a list into the engine's input.
-func (d *Directory) news(l List, kind control.ListKind, now time.Duration) (engine.Input, []error) {
-	entries, faults := d.Apply(l, now)
-	return engine.Input{List: &engine.List{Kind: kind, Entries: entries}}, faults
-}
--- a/internal/platform/keeper.go
+++ b/internal/platform/keeper.go
@@ -8,9 +8,11 @@
 	"whinrun/internal/ledger"
 )
 
-// keeper is the engine's Ledger: it says messages in the ledger's terms, which another process understands, too.
+// keeper is the engine's Ledger: it says messages in the ledger's terms, which another process understands, too. Ends that
+// the platform is to hear go on to the notices once they are on record; a delivered message needs no word.
 type keeper struct {
 	l        *ledger.Ledger
+	notes    *noticer
 	settings *control.Settings
 	clock    engine.Clock
 	log      func(format string, a ...any)
@@ -49,18 +51,22 @@
 		k.told(k.l.Over(m.Name))
 		return
 	}
-	k.told(k.l.End(notice(m.Name, a)))
-}
-
-// notice says an end as the platform is told it.
-func notice(name string, a *engine.Answer) ledger.Notice {
-	n := ledger.Notice{Name: name}
+	n := ledger.Notice{Name: m.Name}
 	if a.Final == engine.Refused {
 		n.Deferred, n.Again = true, int64((a.Wait+control.Millisecond-1)/control.Millisecond)
 	}
-	return n
+	k.end(n)
+}
+
+// end records an end and has the platform told.
+func (k *keeper) end(n ledger.Notice) {
+	k.told(k.l.End(n))
+	k.notes.put(n)
 }
 
+// acked records that the platform has heard.
+func (k *keeper) acked(names []string) { k.told(k.l.Acked(names)) }
+
 func (k *keeper) told(err error) {
 	if err != nil {
 		k.log("%v", err)
@@ -70,13 +76,7 @@
 // owed makes what the ledger holds into messages as the engine takes them, in order. Those of classes or tenants that the
 // settings don't have any more can't be delivered: their names come apart.
 func (k *keeper) owed(entries []ledger.Entry, now time.Time) (all []*engine.Message, void []string) {
-	classes, tenants := map[string]int{}, map[string]int{}
-	for i, c := range k.settings.Classes {
-		classes[c.Name] = i
-	}
-	for i, t := range k.settings.Tenants {
-		tenants[t.Name] = i
-	}
+	classes, tenants := numbers(k.settings)
 	for i := range entries {
 		e := &entries[i]
 		class, ok := classes[e.Class]
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"net"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -92,7 +91,9 @@
 	if err != nil {
 		return err
 	}
-	keep := &keeper{n.ledger, set, n.clock, n.warn("ledger")}
+	keep := &keeper{l: n.ledger, settings: set, clock: n.clock, log: n.warn("ledger")}
+	n.notes = newNoticer(n.agent, keep.acked, n.warn("notices"))
+	keep.notes = n.notes
 	policy := engine.Policy{Settings: *set, Ledger: keep, Judge: Judge, CallSize: maxBody}
 	if cfg.Trace {
 		policy.Trail = trace{n.log, n.dir}
@@ -105,11 +106,6 @@
 	hold := heldOver * set.MaxOpen
 	entries, owed := n.ledger.Owed()
 	n.loop = engine.NewLoop(core, n.clock, engine.Bounds{Queue: hold + len(entries), Hold: hold + len(entries)})
-	n.notes = newNoticer(n.agent, func(names []string) {
-		if err := n.ledger.Acked(names); err != nil {
-			n.log.Warn("ledger", "%v", err)
-		}
-	}, n.warn("notices"))
 	n.notes.put(owed...)
 	n.told(cfg.Known, control.ListCached)
 	n.restore(keep, entries)
@@ -118,8 +114,7 @@
 	bytes := int64(cfg.Limits.MemoryMB * (1 << 20) / 8)
 	d := door.New(door.Limits{Conns: share.clients, Bytes: bytes, Hold: hold, BlockAt: 1, UnblockAt: 1}, max(1, len(set.Tenants)), n.loop)
 	n.desk = NewDesk(*set, d.Side("platform"))
-	n.desk.knows, n.desk.owes, n.desk.ready, n.desk.now = n.dir.Knows, n.ledger.Has, n.listed.Load, n.elapsed
-	n.desk.ended = n.Ended
+	n.desk.knows, n.desk.owes, n.desk.ready = n.dir.Knows, n.ledger.Has, n.listed.Load
 	n.front, err = front.New(front.Config{Address: cfg.Listen.String(), Loops: 1, Unread: 64 << 10}, n.desk.side, n.clock,
 		func(t string) { n.log.Warn("clients", "%s", t) }, n.desk.Open)
 	if err != nil {
@@ -152,32 +147,21 @@
 func (n *Node) restore(k *keeper, entries []ledger.Entry) {
 	all, void := k.owed(entries, time.Now())
 	for _, m := range all {
-		m.Origin = origin{n}
+		m.Origin = nobody{}
 		if err := n.loop.Submit(m); err != nil {
 			void = append(void, m.Name)
 		}
 	}
 	for _, name := range void {
-		x := ledger.Notice{Name: name}
-		if err := n.ledger.End(x); err != nil {
-			n.log.Warn("ledger", "%v", err)
-		}
-		n.notes.put(x)
+		k.end(ledger.Notice{Name: name})
 	}
 }
 
-// origin is where restored messages came from.
-type origin struct{ n *Node }
+// nobody is where restored messages came from: their senders have heard that they are taken on, and wait no more.
+type nobody struct{}
 
 // Final is engine.Origin.
-func (o origin) Final(m *engine.Message, a engine.Answer) { o.n.Ended(m, a) }
-
-// Ended tells the platform of the end of a message that was taken on; a delivered one needs no word.
-func (n *Node) Ended(m *engine.Message, a engine.Answer) {
-	if a.Final != engine.Served {
-		n.notes.put(notice(m.Name, &a))
-	}
-}
+func (nobody) Final(*engine.Message, engine.Answer) {}
 
 // heard takes a list from discovery.
 func (n *Node) heard(l List) {
@@ -189,11 +173,11 @@
 }
 
 func (n *Node) told(l List, kind control.ListKind) {
-	in, faults := n.dir.news(l, kind, n.elapsed())
+	entries, faults := n.dir.Apply(l, n.elapsed())
 	for _, err := range faults {
 		n.log.Warn("discovery", "%v", err)
 	}
-	n.loop.Put(in)
+	n.loop.Put(engine.Input{List: &engine.List{Kind: kind, Entries: entries}})
 	if len(l.Hosts) > 0 || kind == control.ListFull {
 		n.listed.Store(true)
 	}
@@ -227,13 +211,6 @@
 	n.log.Info("node", "configuration read again: discovery at %v", cfg.Discovery)
 }
 
-// Moved is where discovery is now, for tests.
-func (n *Node) Moved() netip.AddrPort {
-	n.agent.mu.Lock()
-	defer n.agent.mu.Unlock()
-	return n.agent.addr
-}
-
 // Stop ends a dispatcher in order: nothing new is taken, what is out is awaited within the time there is, the rest stays
 // in the ledger.
 func (n *Node) Stop() {
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -15,24 +15,10 @@
 	"testing"
 	"time"
 
-	"whinrun/internal/h1"
 	"whinrun/internal/logs"
 	"whinrun/internal/platform/stage"
 )
 
-// settingsText are the settings of the tests, in the platform's form.
-const settingsText = `{"classes":[
- {"effect":"free","gain":2,"group":"all","hard-limit":4000000,"late-worth":0,"name":"status","target":1000000,"window":1000000},
- {"effect":"guarded","gain":1,"group":"all","hard-limit":5000000,"late-worth":0.5,"name":"sync","target":1000000,"window":4000000},
- {"effect":"single_shot","gain":5,"group":"all","hard-limit":5000000,"late-worth":0.5,"name":"upload","target":1000000,"window":1000000},
- {"effect":"guarded","gain":1,"group":"all","hard-limit":5000000,"late-worth":0.5,"name":"turns","target":1000000,"window":4000000,"by-arrival":true}],
- "dcs":["east","west"],"extra":{"batch-by-kind":[5,1],"slots":10,"routes-apart":[false,false],"late":"linear"},
- "host-types":["bulk","single"],"instances":1,"me":0,"zone":0,"tick":5000,"weights":"none",
- "limits":{"conn-idle":5000000,"connect-timeout":1500000,"max-open":400,"max-retry-after":2000000,"may-cancel":true,"most-tries":6,
-  "probes":true,"retry-after":true,"streams-per-conn":1},
- "report":{"names":[],"via":"none"},"rules":{"cold-from":0.5,"overload-for":2000000,"stop-sending-within":1000000,"tip-multiple":2,
-  "warm-up":2000000,"settle-after-doubt":200000},"tenants":[{"name":"acme","quota-per-s":1000}]}`
-
 // day is one dispatcher on a stage.
 type day struct {
 	t     *testing.T
@@ -70,9 +56,7 @@
 // configure writes the configuration with the list as it is now.
 func (d *day) configure() {
 	d.t.Helper()
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
- "limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":1},"known":%s,"settings":%s}`, d.addr, d.agent.Addr, d.agent.Whole(), settingsText)
-	if err := os.WriteFile(d.env["EDGE_CONFIG"], []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(d.env["EDGE_CONFIG"], stage.Configuration(d.addr, d.agent), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
 }
@@ -138,20 +122,11 @@
 	start := time.Now()
 	_ = c.SetDeadline(start.Add(within))
 	go func() { _, _ = io.WriteString(c, text) }()
-	var in []byte
-	buf := make([]byte, 4096)
-	for {
-		n, err := c.Read(buf)
-		in = append(in, buf[:n]...)
-		if r, size, perr := h1.ParseResponse(in); perr == nil && size > 0 {
-			return r.Status, time.Since(start)
-		}
-		if ne, ok := err.(net.Error); ok && ne.Timeout() {
-			return -1, time.Since(start)
-		} else if err != nil {
-			return 0, time.Since(start)
-		}
+	status, err = stage.Status(c)
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		status = -1
 	}
+	return status, time.Since(start)
 }
 
 func msg(name, class string, dest int) stage.Message {
@@ -178,15 +153,7 @@
 // over waits until all have their end.
 func (d *day) over(names []string) {
 	d.t.Helper()
-	if !d.s.Await(10*time.Second, func(ev []stage.Event) bool {
-		ended := map[string]bool{}
-		for _, e := range ev {
-			if e.Kind == stage.Noticed || e.Kind == stage.Answered && e.Status == 200 {
-				ended[e.Name] = true
-			}
-		}
-		return !slices.ContainsFunc(names, func(n string) bool { return !ended[n] })
-	}) {
+	if !d.s.Await(10*time.Second, func(ev []stage.Event) bool { return stage.AllEnded(ev, names) }) {
 		d.t.Fatalf("messages without an end; log: %s", d.text())
 	}
 }
@@ -270,7 +237,6 @@
 // Messages that wait for the same endpoint leave as one call, and each gets its own end from the answer.
 func TestBulkCall(t *testing.T) {
 	d := newDay(t)
-	hold := make(chan struct{})
 	var mu sync.Mutex
 	most := 0
 	e := d.endpoint("a", 1, "bulk", always(stage.Reply{Status: 429, Wait: 300 * time.Millisecond}))
@@ -289,7 +255,6 @@
 		}
 		return stage.Reply{Status: 200, Body: body}
 	})
-	close(hold)
 	d.over(names)
 	mu.Lock()
 	defer mu.Unlock()
@@ -755,7 +720,7 @@
 
 func TestConfigurationFaults(t *testing.T) {
 	good := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964","extra":{"a":[1]},
- "limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":1},"known":{"seq":1,"whole":true,"hosts":[]},"settings":%s}`, settingsText)
+ "limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":1},"known":{"seq":1,"whole":true,"hosts":[]},"settings":%s}`, stage.Settings)
 	env := func(k string) string { return map[string]string{"EDGE_STATE": "/x"}[k] }
 	if c, err := parse([]byte(good), env); err != nil || c.Settings.Slots != 10 || c.Listen != netip.MustParseAddrPort("127.0.0.1:0") {
 		t.Fatalf("%+v, %v", c, err)
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"whinrun/control"
 	"whinrun/internal/door"
 	"whinrun/internal/engine"
@@ -31,23 +33,30 @@
 	knows   func(dest int) bool
 	owes    func(name string) bool // a message of that id is owed its end
 	ready   func() bool
-	now     func() time.Duration
 	side    *door.Side
-	ended   func(m *engine.Message, a engine.Answer) // the end of a message that was taken on
 	closing atomic.Bool
 }
 
 // NewDesk returns a Desk for classes and tenants as the settings name them.
 func NewDesk(s control.Settings, side *door.Side) *Desk {
-	d := &Desk{classes: map[string]int{}, tenants: map[string]int{}, side: side}
-	for i, c := range s.Classes {
-		d.classes[c.Name] = i
+	d := &Desk{side: side}
+	d.classes, d.tenants = numbers(&s)
+	for _, c := range s.Classes {
 		d.keyed = append(d.keyed, c.Effect == control.Guarded)
 	}
+	return d
+}
+
+// numbers tells which number each class and tenant has, by name.
+func numbers(s *control.Settings) (classes, tenants map[string]int) {
+	classes, tenants = map[string]int{}, map[string]int{}
+	for i, c := range s.Classes {
+		classes[c.Name] = i
+	}
 	for i, t := range s.Tenants {
-		d.tenants[t.Name] = i
+		tenants[t.Name] = i
 	}
-	return d
+	return classes, tenants
 }
 
 // Open makes the session of a new connection.
@@ -75,7 +84,6 @@
 // ask is the way of one message until its sender has heard what became of it: the Origin of the message.
 type ask struct {
 	s     *session
-	d     *Desk
 	close bool
 	taken bool // used on the engine's goroutine only
 }
@@ -93,13 +101,11 @@
 	a.s.post(verdict{ask: a, final: engine.Served})
 }
 
-// Final is engine.Origin.
-func (a *ask) Final(m *engine.Message, x engine.Answer) {
-	if a.taken {
-		a.d.ended(m, x)
-		return
+// Final is engine.Origin. The end of a message that was taken on is the keeper's to tell.
+func (a *ask) Final(_ *engine.Message, x engine.Answer) {
+	if !a.taken {
+		a.s.post(verdict{a, x.Final, x.Wait})
 	}
-	a.s.post(verdict{a, x.Final, x.Wait})
 }
 
 // Open is front.Parcel.
@@ -243,7 +249,7 @@
 
 func (s *session) submit(now time.Duration, m *engine.Message, last bool) {
 	if s.d.ready() { // while this dispatcher stops it is the module that refuses
-		a := &ask{s: s, d: s.d, close: last}
+		a := &ask{s: s, close: last}
 		m.Origin = a
 		s.ask = a
 		if s.room.Submit(m) == nil {
@@ -332,11 +338,7 @@
 	if _, value, is := strings.Cut(text, "key="); is {
 		text = value
 	}
-	h := uint64(14695981039346656037) // FNV-1a: keys are compared, not read
-	for _, c := range []byte(text) {
-		h = (h ^ uint64(c)) * 1099511628211
-	}
-	return max(h, 1), true
+	return max(1, xxhash.Sum64String(text)), true
 }
 
 // Check is front.Session.
--- a/internal/platform/stage/stage.go
+++ b/internal/platform/stage/stage.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,7 +63,6 @@
 	events []Event
 	calls  int
 	change chan struct{} // closed at each event
-	agents []*Agent
 }
 
 // New makes an empty stage.
@@ -118,6 +118,38 @@
 	return n
 }
 
+// AllEnded tells whether every one of the messages was delivered or ended by a notice.
+func AllEnded(events []Event, names []string) bool {
+	ended := map[string]bool{}
+	for _, e := range events {
+		if e.Kind == Noticed || e.Kind == Answered && e.Status == 200 {
+			ended[e.Name] = true
+		}
+	}
+	return !slices.ContainsFunc(names, func(n string) bool { return !ended[n] })
+}
+
+// Settings are settings for a dispatcher on a stage, in the platform's form: classes of each effect, one that keeps its
+// order, a kind of destination that takes several messages in a call and one that does not.
+const Settings = `{"classes":[
+ {"effect":"free","gain":2,"group":"all","hard-limit":4000000,"late-worth":0,"name":"status","target":1000000,"window":1000000},
+ {"effect":"guarded","gain":1,"group":"all","hard-limit":5000000,"late-worth":0.5,"name":"sync","target":1000000,"window":4000000},
+ {"effect":"single_shot","gain":5,"group":"all","hard-limit":5000000,"late-worth":0.5,"name":"upload","target":1000000,"window":1000000},
+ {"effect":"guarded","gain":1,"group":"all","hard-limit":5000000,"late-worth":0.5,"name":"turns","target":1000000,"window":4000000,"by-arrival":true}],
+ "dcs":["east","west"],"extra":{"batch-by-kind":[5,1],"slots":10,"routes-apart":[false,false],"late":"linear"},
+ "host-types":["bulk","single"],"instances":1,"me":0,"zone":0,"tick":5000,"weights":"none",
+ "limits":{"conn-idle":5000000,"connect-timeout":1500000,"max-open":400,"max-retry-after":2000000,"may-cancel":true,"most-tries":6,
+  "probes":true,"retry-after":true,"streams-per-conn":1},
+ "report":{"names":[],"via":"none"},"rules":{"cold-from":0.5,"overload-for":2000000,"stop-sending-within":1000000,"tip-multiple":2,
+  "warm-up":2000000,"settle-after-doubt":200000},"tenants":[{"name":"acme","quota-per-s":1000}]}`
+
+// Configuration is the file of a dispatcher that listens on an address and learns from an agent, with the agent's list
+// as the one that it had.
+func Configuration(listen string, a *Agent) []byte {
+	return fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+ "limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":1},"known":%s,"settings":%s}`, listen, a.Addr, a.Whole(), Settings)
+}
+
 // Endpoint is one stand-in endpoint.
 type Endpoint struct {
 	s    *Stage
@@ -353,9 +385,6 @@
 	mux.HandleFunc("POST /v1/outcomes", a.outcomes)
 	a.srv = &http.Server{Handler: mux}
 	go func() { _ = a.srv.Serve(ln) }()
-	s.mu.Lock()
-	s.agents = append(s.agents, a)
-	s.mu.Unlock()
 	return a, nil
 }
 
@@ -510,16 +539,22 @@
 	if _, err := c.Write(Form(m)); err != nil {
 		return 0
 	}
+	status, _ := Status(c)
+	return status
+}
+
+// Status reads the status of the first answer on a connection; it is 0, with the error, where none comes.
+func Status(c net.Conn) (int, error) {
 	var in []byte
 	buf := make([]byte, 4096)
 	for {
 		n, err := c.Read(buf)
 		in = append(in, buf[:n]...)
 		if r, size, perr := h1.ParseResponse(in); perr == nil && size > 0 {
-			return r.Status
+			return r.Status, nil
 		}
 		if err != nil {
-			return 0
+			return 0, err
 		}
 	}
 }
