--- /dev/null
+++ b/cmd/whinlab/deploy.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+
+	"whinrun/internal/sitefile"
+	"whinrun/internal/testgate"
+)
+
+type lineCmd struct {
+	Key  string `arg:"" help:"Key of the line, e.g. build."`
+	File string `default:"deploy/balancer.toml" help:"The deploy file."`
+}
+
+func (c *lineCmd) Run() error {
+	text, err := sitefile.Line(c.File, c.Key)
+	if err == nil {
+		fmt.Println(text)
+	}
+	return err
+}
+
+type siteCmd struct {
+	Overrides string `arg:"" type:"existingfile" help:"What the variant has otherwise, e.g. a file of deploy/sites."`
+	Site      string `required:"" type:"existingfile" help:"The given site file; what stands beside it comes along."`
+	Out       string `default:"found/sites" help:"Folder for the variant."`
+}
+
+func (c *siteCmd) Run() error {
+	path, err := sitefile.Variant(c.Site, c.Overrides, c.Out)
+	if err == nil {
+		fmt.Println(path)
+	}
+	return err
+}
+
+type gateCmd struct {
+	Known string `default:"KNOWN-RED.txt" help:"Tests on record as failing; the file may be missing."`
+}
+
+// Run judges go test -json on standard input.
+func (c *gateCmd) Run() error {
+	f, err := os.Open(c.Known)
+	var known []testgate.Known
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil:
+		return err
+	default:
+		known, err = testgate.ParseKnown(f)
+		if err = errors.Join(err, f.Close()); err != nil {
+			return fmt.Errorf("%s: %w", c.Known, err)
+		}
+	}
+	return testgate.Judge(os.Stdin, known, os.Stdout)
+}
--- a/cmd/whinlab/main.go
+++ b/cmd/whinlab/main.go
@@ -30,6 +30,9 @@
 	Trail   trailCmd   `cmd:"" help:"Measure delivery with the audit trail on and off, in one run."`
 	Idle    idleCmd    `cmd:"" help:"Measure busy partners alone and beside many idle ones, some of which wake."`
 	Day     dayCmd     `cmd:"" help:"Play scripted days through a real dispatcher and check the rules from the sockets."`
+	Line    lineCmd    `cmd:"" help:"Print a line of the deploy file."`
+	Site    siteCmd    `cmd:"" help:"Lay out a variant of a given site file."`
+	Gate    gateCmd    `cmd:"" help:"Judge a run of the tests (go test -json on standard input) by the record of those known to fail."`
 }
 
 type partnerCmd struct {
