Repeats begin within their window, and a call is led by its longest message

Ruled out: restarts, cut answers (all bodies whole), lost notices. Change: a Send tells within which time it may begin; the engine takes back what has no connection by then, the pool writes nothing past it. Messages of a call stand by the time that they have, the longest first. Tests: TestSendsTellUntilWhenTheyMayBegin, TestRepeatThatWaitsPastItsWindow, TestTooLateToBegin, TestLongestLeadsACall; the last two were seen to fail on the old text.

--- a/control/api.go
+++ b/control/api.go
@@ -208,17 +208,19 @@
 
 // Kinds of action. The fields each one uses are in brackets.
 const (
-	Send   ActionKind = iota + 1 // start an attempt [Message Endpoint After: its time-out, 0 is the deadline]
-	Refuse                       // final: handed back, harmless to repeat [Message After: stay away so long]
-	Fail                         // final: nothing promised [Message]
-	Cancel                       // stop waiting for an attempt [Message Attempt]
-	Timer                        // ask for a Tick [After Mark: 0, or a message's id + 1: of no use once that one is over]
-	Probe                        // check an endpoint [Endpoint]
-	Close                        // close the idle connections to an endpoint [Endpoint]
-	Watch                        // AskList only: subscribe to the list from now on; answered by one List event []
-	Fetch                        // AskList only: ask for the whole list once; answered by one List event []
-	Share                        // Peers only: send a note to every other dispatcher [Text: its bytes, 256 at most]
-	Note                         // a line for the operators [Text]
+	// Send starts an attempt [Message Endpoint After: its time-out, 0 is the deadline; Within: one that is not written
+	// within this is given up unsent, however long it waits for a connection].
+	Send   ActionKind = iota + 1
+	Refuse            // final: handed back, harmless to repeat [Message After: stay away so long]
+	Fail              // final: nothing promised [Message]
+	Cancel            // stop waiting for an attempt [Message Attempt]
+	Timer             // ask for a Tick [After Mark: 0, or a message's id + 1: of no use once that one is over]
+	Probe             // check an endpoint [Endpoint]
+	Close             // close the idle connections to an endpoint [Endpoint]
+	Watch             // AskList only: subscribe to the list from now on; answered by one List event []
+	Fetch             // AskList only: ask for the whole list once; answered by one List event []
+	Share             // Peers only: send a note to every other dispatcher [Text: its bytes, 256 at most]
+	Note              // a line for the operators [Text]
 )
 
 // Action is something a Dispatcher wants done.
@@ -228,6 +230,7 @@
 	Attempt  int
 	Endpoint Endpoint
 	After    Time
+	Within   Time
 	Mark     uint64
 	Text     string // Note, Share: their text; Refuse, Fail: the reason, in words
 }
--- a/control/control.go
+++ b/control/control.go
@@ -280,7 +280,7 @@
 		return "it may have run, and its class does not allow a repeat"
 	case m.tries >= d.set.MaxTries:
 		return "all attempts allowed are made"
-	case m.doubt && m.class.Effect == Guarded && d.now+d.set.Tick >= m.doubtAt+m.class.Window:
+	case d.now+d.set.Tick >= m.lasts():
 		return "it may have run, and partners forget its key before it could go again"
 	}
 	return "nothing opens for it before its time ends"
@@ -423,7 +423,7 @@
 		m.out = c
 		m.tries++
 		c.msgs = append(c.msgs, m)
-		a := Action{Kind: Send, Message: m.id, Endpoint: ep.id}
+		a := Action{Kind: Send, Message: m.id, Endpoint: ep.id, Within: m.lasts() - d.set.Tick - d.now}
 		if !d.set.MayCancel && m.class.Effect != SingleShot {
 			a.After = stuckAfter * d.silence(t)
 		}
@@ -451,7 +451,7 @@
 	switch {
 	case m.ended || m.out != nil || m.tries >= d.set.MaxTries || ep.dest != m.dest:
 		return false
-	case d.now+d.set.Tick >= m.deadline || ep.health != Ready || d.now < ep.pace.wait:
+	case d.now+d.set.Tick >= m.lasts() || ep.health != Ready || d.now < ep.pace.wait:
 		return false
 	case d.stopAt > 0 && d.now+d.silence(ep.dest) > d.stopAt:
 		return false
@@ -462,7 +462,7 @@
 	case c.Effect == SingleShot:
 		return false
 	}
-	return d.now+d.set.Tick < m.doubtAt+c.Window && (!c.ZoneGroup || ep.zone == m.doubtZone)
+	return !c.ZoneGroup || ep.zone == m.doubtZone
 }
 
 // head picks the message to send: of the oldest of each lane, the one that would lose most worth by
@@ -503,12 +503,8 @@
 
 // spent tells that no attempt can ever be made again: the message is answered at once, wherever it lies.
 func (d *Dispatcher) spent(m *message) bool {
-	last := m.deadline
-	if m.doubt && m.class.Effect == Guarded {
-		last = min(last, m.doubtAt+m.class.Window)
-	}
 	used := m.tries >= d.set.MaxTries || m.doubt && m.class.Effect == SingleShot
-	return used || max(d.opens(m), d.now)+d.set.Tick >= last
+	return used || max(d.opens(m), d.now)+d.set.Tick >= m.lasts()
 }
 
 // ceiling is the most calls out to one destination: under three quarters of the slots.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -327,6 +327,27 @@
 	}
 }
 
+// A send tells until when it may begin: a repeat that waits for a connection must not go past its window.
+func TestSendsTellUntilWhenTheyMayBegin(t *testing.T) {
+	within := func(acts []Action) Time {
+		i := slices.IndexFunc(acts, func(a Action) bool { return a.Kind == Send })
+		if i < 0 {
+			t.Fatalf("nothing is sent: %+v", acts)
+		}
+		return acts[i].Within
+	}
+	tick := testSettings().Tick
+	for class, want := range map[int]Time{free: 18*s - tick, guarded: 8*s - tick} { // the deadline, the window
+		r := newRig(t, testSettings(), entry(1, 0, 0), entry(1, 1, 0))
+		if got := within(r.at(0, r.msg(class, 1))); got != 20*s-tick {
+			t.Errorf("class %d: a first attempt may begin within %d", class, got)
+		}
+		if got := within(r.at(2*s, done(1, 0, Errored))); got != want {
+			t.Errorf("class %d: a repeat may begin within %d, want %d", class, got, want)
+		}
+	}
+}
+
 func TestGuardedByZoneStaysInItsZoneAndIsNotHandedBack(t *testing.T) {
 	set := testSettings()
 	set.Classes[guarded].ZoneGroup = true
--- a/control/state.go
+++ b/control/state.go
@@ -750,6 +750,14 @@
 	}
 }
 
+// lasts is when a message can't be sent any more: at its deadline, or once partners forget the key of one that may have run.
+func (m *message) lasts() Time {
+	if m.doubt && m.class.Effect == Guarded {
+		return min(m.deadline, m.doubtAt+m.class.Window)
+	}
+	return m.deadline
+}
+
 // opens tells when the first endpoint that the message may go to is past its wait, 0 if none is listed.
 func (d *Dispatcher) opens(m *message) Time {
 	at, any := Time(math.MaxInt64), false
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -103,6 +103,7 @@
 	Place    Place
 	Worth    float64      // of its message, as its class has it
 	Due      control.Time // it is given up then, at the latest
+	Begin    control.Time // one that is not written by then is given up unsent, 0 for Due: a repeat would come too late
 	Sent     control.Time
 }
 
@@ -503,7 +504,7 @@
 	}
 	c.seq++
 	at := &Attempt{Seq: c.seq, Msg: h.msg, N: h.tries, Endpoint: a.Endpoint, Place: c.places[a.Endpoint], Due: h.due, Sent: c.now,
-		Worth: c.pol.Settings.Classes[h.msg.Class].Worth}
+		Begin: c.now + a.Within, Worth: c.pol.Settings.Classes[h.msg.Class].Worth}
 	if a.After > 0 {
 		at.Due = min(at.Due, c.now+a.After)
 	}
@@ -514,6 +515,9 @@
 	if c.pol.Trail != nil {
 		c.pol.Trail.Started(at)
 	}
+	if at.Begin+c.pol.Settings.Tick < at.Due {
+		heap.Push(&c.timers, timer{at: at.Begin, seq: at.Seq})
+	}
 	heap.Push(&c.timers, timer{at: at.Due, seq: at.Seq})
 	c.join(at)
 }
@@ -576,7 +580,7 @@
 	c.answer(h, Answer{Final: Failed, Late: late, Reason: a.Text})
 }
 
-// timer is a Tick that the module asked for, or the time-out of an attempt.
+// timer is a Tick that the module asked for, or for an attempt the last moment to begin it or its time-out.
 type timer struct {
 	at   control.Time
 	mark uint64 // of the module
@@ -604,7 +608,9 @@
 		t := heap.Pop(&c.timers).(timer)
 		if t.seq == 0 {
 			c.events = append(c.events, control.Event{Kind: control.Tick, Mark: t.mark})
-		} else if a := c.out[t.seq]; a != nil {
+		} else if a := c.out[t.seq]; a != nil && t.at < a.Due {
+			c.back.Unsend(a)
+		} else if a != nil {
 			c.back.Abandon(a, OutOfTime)
 		}
 	}
--- a/internal/engine/ledger_test.go
+++ b/internal/engine/ledger_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// A repeat that no connection has taken when its window ends is given up unsent.
+func TestRepeatThatWaitsPastItsWindow(t *testing.T) {
+	b, c := newBook(t)
+	in := b.msg(1, 2, 10)
+	in.Submit.Class, in.Submit.Life = 2, 4*control.Second // guarded, a window of 3 s
+	c.Round(2*control.Second, []Input{in})
+	c.Round(3*control.Second, []Input{{End: &End{Seq: b.calls[0][0].Seq, Kind: Answered, Status: 500}}})
+	for now, ok := c.Next(); len(b.calls) < 2 && ok; now, ok = c.Next() {
+		c.Round(now, nil)
+	}
+	if len(b.calls) < 2 {
+		t.Fatal("no repeat")
+	}
+	again := b.calls[1][0]
+	if over := 5*control.Second - settings().Tick; again.Begin != over || again.Due <= over {
+		t.Fatalf("a repeat may begin until %d, is due %d", again.Begin, again.Due)
+	}
+	b.take()
+	for now, ok := c.Next(); ok && now <= again.Begin; now, ok = c.Next() {
+		c.Round(now, nil)
+	}
+	if got := b.take(); !slices.Contains(got, "unsend m1") {
+		t.Errorf("%q", got)
+	}
+}
+
 // A message that can't be kept is refused, and the module forgets it.
 func TestLedgerFull(t *testing.T) {
 	b, c := newBook(t)
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -178,7 +179,8 @@
 	return !t.ended
 }
 
-// start writes a call, without the attempts that were given up or ran out of time meanwhile.
+// start writes a call, without the attempts that were given up or ran out of time meanwhile. Guards against a connection
+// that comes up late: by then partners may have forgotten the keys of repeats.
 func (c *conn) start(k *call, now time.Duration) {
 	p := c.pool
 	var alive []*task
@@ -190,8 +192,8 @@
 		case ended:
 		case given:
 			p.end(t, engine.End{Kind: engine.Unsent})
-		case time.Duration(t.a.Due)*time.Microsecond <= now:
-			p.end(t, engine.End{Kind: engine.Unsent, Detail: "its time is over"})
+		case time.Duration(cmp.Or(t.a.Begin, t.a.Due))*time.Microsecond <= now:
+			p.end(t, engine.End{Kind: engine.Unsent, Detail: "its time, or that for repeats, is over"})
 		default:
 			alive = append(alive, t)
 		}
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -1,7 +1,9 @@
 package outbound
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -74,6 +76,9 @@
 		l.over = true
 		return errNoRoom
 	}
+	// The message with the most time goes first. Guards against peers that reckon a call by its first message: its end
+	// before that of the others would leave these without theirs.
+	slices.SortStableFunc(tasks, func(x, y *task) int { return cmp.Compare(y.a.Due, x.a.Due) })
 	l.used, l.call, l.tasks = true, k, tasks
 	l.as = make([]*engine.Attempt, len(tasks))
 	left := make([]time.Duration, len(tasks))
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -14,12 +14,16 @@
 	"whinrun/internal/opener"
 )
 
-// plain calls: the body is the request's name.
+// plain calls: the path has the names of the messages.
 type plain struct{ addr netip.AddrPort }
 
 func (p plain) Address(control.Endpoint) (netip.AddrPort, bool) { return p.addr, true }
 func (p plain) Request(b []byte, as []*engine.Attempt, _ []time.Duration) []byte {
-	return h1.AppendHead(b, "POST /"+as[0].Msg.Name+" HTTP/1.1", "Content-Length", "0")
+	names := make([]string, len(as))
+	for i, a := range as {
+		names[i] = a.Msg.Name
+	}
+	return h1.AppendHead(b, "POST /"+strings.Join(names, ",")+" HTTP/1.1", "Content-Length", "0")
 }
 func (p plain) Answer(as []*engine.Attempt, head *h1.Response, _ []byte) []engine.End {
 	ends := make([]engine.End, len(as))
@@ -166,6 +170,42 @@
 	r.want(engine.Answered, 500)
 }
 
+// The message with the most time leads a call, so that the first of a call is never over before the others.
+func TestLongestLeadsACall(t *testing.T) {
+	r := newRig(t)
+	var call []*engine.Attempt
+	for i, n := range []string{"short", "long", "middle", "long2"} {
+		due := []control.Time{4, 12, 8, 12}[i]
+		call = append(call, &engine.Attempt{Seq: uint64(i + 1), Msg: &engine.Message{Name: n}, Endpoint: 1, Due: r.clock.Now() + due*control.Second})
+	}
+	r.p.Start(call)
+	c := r.conn()
+	if got := r.read(c); !strings.HasPrefix(got, "POST /long,long2,middle,short ") {
+		t.Errorf("the call is %.40q", got)
+	}
+	r.p.Abandon(call[0], engine.OutOfTime)
+	r.want(engine.OutOfTime, 0)
+	_, _ = c.Write([]byte(okAnswer))
+	for range 3 {
+		r.want(engine.Answered, 200)
+	}
+}
+
+// An attempt whose last moment has come when its connection is there is not written: the key of a repeat may be forgotten
+// by then. One beside it in the call goes.
+func TestTooLateToBegin(t *testing.T) {
+	r := newRig(t)
+	now := r.clock.Now()
+	due := now + 20*control.Second
+	r.p.Start([]*engine.Attempt{{Seq: 1, Msg: &engine.Message{Name: "late"}, Endpoint: 1, Due: due, Begin: now},
+		{Seq: 2, Msg: &engine.Message{Name: "early"}, Endpoint: 1, Due: due, Begin: due}})
+	c := r.conn()
+	if got := r.read(c); !strings.HasPrefix(got, "POST /early ") {
+		t.Errorf("the call is %.40q", got)
+	}
+	r.want(engine.Unsent, 0)
+}
+
 // An attempt that waits for a connection can be taken back: it has not run.
 func TestUnsendWhileWaiting(t *testing.T) {
 	r := newRig(t)
