Watches run by a clock of their own: silence, returns and lists over several lines

Need: what a silent watch misses counts as told 6 s after it fell silent. One watch at a time was waited for 5 s, then dialled again with growing pauses, and a mute new one cost 5 s more (discovery.go, watch and run); any byte renewed the limit. While discovery was down nothing was tried beside the open watch. A list over several lines was read as broken (watchReader.line). Seen in a probe of what passes: every watch is answered at once with an object, then by an empty line every 2 s; one asked for while discovery is down is answered at its return, in pieces of a few bytes. Change: watchPlan decides, free of I/O: whole objects and empty lines are life; after 2.5 s without, another watch is tried every 0.5 s beside those open, four at most; the first that speaks ends the others. listReader cuts objects by their braces. Tests: a table of orders, a property over random outages (a list within 5 s of being reachable; four open at most), all cuts of a body.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -1,8 +1,7 @@
 package platform
 
 import (
-	"bytes"
-	"encoding/json"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -16,10 +15,8 @@
 // Times of the connections to the platform's agent, which is on this machine: it answers at once or is down.
 const (
 	agentConnect = time.Second
-	agentSilent  = 5 * time.Second // a watch says something every 2 s
 	againLeast   = 100 * time.Millisecond
 	againMost    = time.Second
-	maxListLine  = 4 << 20 // bytes of one line of a watch
 )
 
 // agent is where discovery and notices are. The address may change in service: connections to the old one end then.
@@ -69,6 +66,16 @@
 	}
 }
 
+// connect opens a connection that its caller owns.
+func (a *agent) connect(ctx context.Context) (net.Conn, error) {
+	a.mu.Lock()
+	addr := a.addr
+	a.mu.Unlock()
+	d := net.Dialer{Timeout: agentConnect}
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+// dial opens a connection that a change of the address ends.
 func (a *agent) dial() (net.Conn, error) {
 	a.mu.Lock()
 	addr := a.addr
@@ -93,11 +100,16 @@
 	_ = c.Close()
 }
 
+// change returns what is closed when the address changes next.
+func (a *agent) change() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.moved
+}
+
 // pause waits before a next try; a new address ends the wait. It is false at the stop.
 func (a *agent) pause(d time.Duration) bool {
-	a.mu.Lock()
-	moved := a.moved
-	a.mu.Unlock()
+	moved := a.change()
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -109,126 +121,118 @@
 	return true
 }
 
-// watcher keeps the endpoint list up to date by a watch.
+// watcher keeps the endpoint list up to date by watches, as a watchPlan says. All but its read goroutines is run's.
 type watcher struct {
 	agent *agent
+	now   func() time.Duration
 	seq   int64 // version of the list as told last
+	fresh bool  // the next list of a watch counts whatever its version is: the address has changed
 	told  func(List)
 	log   func(format string, a ...any)
+
+	plan   watchPlan
+	stops  map[uint64]context.CancelFunc
+	events chan watchEvent
+}
+
+// watchEvent is what a watch has to tell: a list, an empty line, or its end.
+type watchEvent struct {
+	id   uint64
+	list *List
+	err  error
+}
+
+func newWatcher(a *agent, now func() time.Duration, seq int64, told func(List), log func(string, ...any)) *watcher {
+	return &watcher{agent: a, now: now, seq: seq, told: told, log: log, stops: map[uint64]context.CancelFunc{}, events: make(chan watchEvent)}
 }
 
 // run watches until the agent is stopped.
 func (w *watcher) run() {
-	gap := againLeast
-	for !w.agent.stopped() {
-		seq := w.seq
-		start := time.Now()
-		err := w.watch()
-		if w.seq != seq || time.Since(start) > 2*agentSilent {
-			gap = againLeast
-		}
-		if w.agent.stopped() {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	again := time.NewTimer(0)
+	defer again.Stop()
+	moved := w.agent.change()
+	for {
+		select {
+		case <-w.agent.quit:
 			return
+		case <-moved:
+			moved = w.agent.change()
+			w.seq, w.fresh = 0, true
+			w.shut(w.plan.moved())
+		case e := <-w.events:
+			w.take(e)
+		case <-again.C:
 		}
-		w.log("watch ended: %v", err)
-		if !w.agent.pause(gap) {
-			return
+		now := w.now()
+		shut, open, at := w.plan.step(now)
+		w.shut(shut)
+		if open > 0 {
+			ctx, stop := context.WithCancel(ctx)
+			w.stops[open] = stop
+			go w.watch(ctx, open, w.seq)
 		}
-		gap = min(2*gap, againMost)
+		again.Reset(max(0, at-now))
 	}
 }
 
-// watch follows one watch until it ends.
-func (w *watcher) watch() error {
-	c, err := w.agent.dial()
-	if err != nil {
-		return err
-	}
-	defer w.agent.hangUp(c)
-	r := &watchReader{told: w.take}
-	buf := make([]byte, 16<<10)
-	_ = c.SetDeadline(time.Now().Add(agentSilent))
-	_, err = c.Write(h1.AppendHead(nil, fmt.Sprintf("GET /v1/endpoints?watch=1&from=%d HTTP/1.1", w.seq), "Host", "discovery"))
-	for err == nil {
-		var n int
-		if n, err = c.Read(buf); n > 0 {
-			_ = c.SetDeadline(time.Now().Add(agentSilent))
-			err = errors.Join(r.read(buf[:n]), err)
-		}
+func (w *watcher) shut(ids []uint64) {
+	for _, id := range ids {
+		w.stops[id]()
+		delete(w.stops, id)
 	}
-	return err
 }
 
-// take passes a list on. Changes that are known already change nothing.
-func (w *watcher) take(l List) {
-	if !l.Whole && l.Seq <= w.seq {
+func (w *watcher) take(e watchEvent) {
+	if e.err != nil {
+		if w.stops[e.id] != nil { // else it was closed here
+			w.log("watch ended: %v", e.err)
+			w.plan.ended(e.id)
+			w.shut([]uint64{e.id})
+		}
 		return
 	}
-	w.seq = l.Seq
-	w.told(l)
-}
-
-// watchReader reads the answer of a watch: a chunked body with a JSON object on each line.
-type watchReader struct {
-	told   func(List)
-	head   *h1.Response
-	in     []byte // a head that is not whole, then a line that is not
-	chunks h1.Chunks
+	shut, ok := w.plan.spoke(e.id, w.now())
+	w.shut(shut)
+	if !ok || e.list == nil {
+		return
+	}
+	// Changes that are known already change nothing: a watch may begin before those of the one that it follows ended.
+	if l := e.list; l.Whole || l.Seq >= w.seq || w.fresh {
+		w.seq, w.fresh = l.Seq, false
+		w.told(*l)
+	}
 }
 
-var errWatchEnds = errors.New("the watch has ended")
-
-func (r *watchReader) read(b []byte) error {
-	if r.head == nil {
-		r.in = append(r.in, b...)
-		head, n, err := h1.ParseResponse(r.in)
-		if err != nil || n == 0 {
-			return err
+// watch follows one watch until it ends, or ctx does.
+func (w *watcher) watch(ctx context.Context, id uint64, from int64) {
+	tell := func(e watchEvent) {
+		e.id = id
+		select {
+		case w.events <- e:
+		case <-ctx.Done():
+		case <-w.agent.quit:
 		}
-		if head.Status != 200 {
-			return fmt.Errorf("status %d", head.Status)
-		}
-		r.head, b, r.in = head, r.in[n:], nil
-	}
-	var err error
-	if r.head.Chunked {
-		r.in, _, err = r.chunks.Read(r.in, b)
-	} else {
-		r.in = append(r.in, b...)
 	}
+	tell(watchEvent{err: w.follow(ctx, from, tell)})
+}
+
+func (w *watcher) follow(ctx context.Context, from int64, tell func(watchEvent)) error {
+	c, err := w.agent.connect(ctx)
 	if err != nil {
 		return err
 	}
-	for {
-		at := bytes.IndexByte(r.in, '\n')
-		if at < 0 {
-			break
-		}
-		if err := r.line(bytes.TrimSpace(r.in[:at])); err != nil {
-			return err
+	defer func() { _ = c.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	r := &listReader{told: func(l List) { tell(watchEvent{list: &l}) }, beat: func() { tell(watchEvent{}) }}
+	_, err = c.Write(h1.AppendHead(nil, fmt.Sprintf("GET /v1/endpoints?watch=1&from=%d HTTP/1.1", from), "Host", "discovery"))
+	buf := make([]byte, 16<<10)
+	for err == nil {
+		var n int
+		if n, err = c.Read(buf); n > 0 {
+			err = errors.Join(r.read(buf[:n]), err)
 		}
-		r.in = r.in[at+1:]
-	}
-	if len(r.in) == 0 {
-		r.in = nil
 	}
-	switch {
-	case len(r.in) > maxListLine:
-		return fmt.Errorf("a line longer than %d bytes", maxListLine)
-	case r.chunks.Done():
-		return errWatchEnds
-	}
-	return nil
-}
-
-func (r *watchReader) line(text []byte) error {
-	if len(text) == 0 {
-		return nil
-	}
-	var l List
-	if err := json.Unmarshal(text, &l); err != nil {
-		return fmt.Errorf("a line of the list: %w", err)
-	}
-	r.told(l)
-	return nil
+	return err
 }
--- /dev/null
+++ b/internal/platform/discovery_test.go
@@ -0,0 +1,289 @@
+package platform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"whinrun/internal/platform/stage"
+)
+
+const ms = time.Millisecond
+
+// Each row plays events at their times: "spoke 1", "ended 1", "moved", "" for the time alone; want is what is opened and
+// closed at which time.
+func TestWatchPlan(t *testing.T) {
+	type at struct {
+		ms int
+		do string
+	}
+	for name, c := range map[string]struct {
+		plays []at
+		want  string
+	}{
+		"healthy":                            {[]at{{10, "spoke 1"}, {2010, "spoke 1"}, {4010, "spoke 1"}, {6000, ""}}, "0:+1"},
+		"silent from its first word on":      {[]at{{10, "spoke 1"}, {2600, "spoke 2"}, {4600, "spoke 2"}}, "0:+1 2510:+2 2600:-1"},
+		"mute while discovery is down":       {[]at{{10, "spoke 1"}, {4400, ""}}, "0:+1 2510:+2 3010:+3 3510:+4 4010:-2 4010:+5"},
+		"the old one speaks again":           {[]at{{10, "spoke 1"}, {2700, "spoke 1"}, {3000, "spoke 2"}, {4000, ""}}, "0:+1 2510:+2 2700:-2"},
+		"the new speaks, the old one behind": {[]at{{10, "spoke 1"}, {2700, "spoke 2"}, {2700, "spoke 1"}, {4000, ""}}, "0:+1 2510:+2 2700:-1"},
+		"it ends":                            {[]at{{10, "spoke 1"}, {1000, "ended 1"}, {1100, "spoke 2"}}, "0:+1 1000:+2"},
+		"it ends at once, again and again":   {[]at{{10, "ended 1"}, {510, "ended 2"}, {900, ""}}, "0:+1 500:+2"},
+		"nobody is there for long":           {[]at{{10, "ended 1"}, {510, "ended 2"}, {1010, "ended 3"}, {1400, ""}}, "0:+1 500:+2 1000:+3"},
+		"moved while healthy":                {[]at{{10, "spoke 1"}, {700, "moved"}, {710, "spoke 2"}, {2710, "spoke 2"}, {3000, ""}}, "0:+1 700:-1 700:+2"},
+		"moved while mute":                   {[]at{{100, "moved"}, {500, ""}}, "0:+1 100:-1 100:+2"},
+		"moved twice at once":                {[]at{{10, "spoke 1"}, {700, "moved"}, {700, "moved"}, {800, "spoke 3"}}, "0:+1 700:-1 700:+2 700:-2 700:+3"},
+		"one that is closed speaks":          {[]at{{10, "spoke 1"}, {700, "moved"}, {710, "spoke 1"}, {1100, ""}}, "0:+1 700:-1 700:+2"},
+		"a list in pieces, slowly":           {[]at{{1300, "spoke 1"}, {2000, ""}}, "0:+1 500:+2 1000:+3 1300:-2 1300:-3"},
+	} {
+		var p watchPlan
+		var got []string
+		note := func(now time.Duration, sign string, ids ...uint64) {
+			for _, id := range ids {
+				got = append(got, fmt.Sprintf("%d:%s%d", now/ms, sign, id))
+			}
+		}
+		wake := time.Duration(0)
+		step := func(now time.Duration) {
+			shut, open, again := p.step(now)
+			note(now, "-", shut...)
+			if open > 0 {
+				note(now, "+", open)
+			}
+			if again <= now {
+				t.Fatalf("%s: asked again at %v for %v", name, now, again)
+			}
+			wake = again
+		}
+		for _, e := range c.plays {
+			now := time.Duration(e.ms) * ms
+			for wake < now {
+				step(wake)
+			}
+			var id uint64
+			_, _ = fmt.Sscanf(e.do, "spoke %d", &id)
+			switch {
+			case id > 0:
+				shut, _ := p.spoke(id, now)
+				note(now, "-", shut...)
+			case e.do == "moved":
+				note(now, "-", p.moved()...)
+			case e.do != "":
+				_, _ = fmt.Sscanf(e.do, "ended %d", &id)
+				p.ended(id)
+			}
+			step(now)
+		}
+		if text := strings.Join(got, " "); text != c.want {
+			t.Errorf("%s: %s, want %s", name, text, c.want)
+		}
+	}
+}
+
+// Whatever fails, and in whichever order: a list is in hand soon after an agent that answers could be reached, far inside the
+// 6 s after which what it has counts as told; and few watches are open.
+func TestWatchPlanIsNeverLongWithoutAList(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		var p watchPlan
+		live := map[uint64]bool{} // open and answered
+		open := map[uint64]bool{}
+		reachable, heard, asked := time.Duration(-1), time.Duration(0), time.Duration(0)
+		up := true
+		for now := time.Duration(0); now < 60*time.Second; now += 10 * ms {
+			if rng.IntN(300) == 0 {
+				up = !up
+			}
+			if rng.IntN(200) == 0 { // all that are open fall silent, for good
+				clear(live)
+			}
+			if rng.IntN(400) == 0 {
+				for _, id := range p.moved() {
+					delete(open, id)
+					delete(live, id)
+				}
+				asked = 0
+			}
+			for _, id := range slices.Sorted(func(yield func(uint64) bool) {
+				for id := range open {
+					if !yield(id) {
+						return
+					}
+				}
+			}) {
+				if rng.IntN(300) == 0 {
+					p.ended(id)
+					delete(open, id)
+					delete(live, id)
+					asked = 0
+				}
+			}
+			if now >= asked {
+				shut, id, again := p.step(now)
+				for _, s := range shut {
+					delete(open, s)
+					delete(live, s)
+				}
+				if asked = again; id > 0 {
+					open[id], live[id] = true, true
+				}
+			}
+			if len(open) > watchMost {
+				t.Fatalf("seed %d: %d watches are open", seed, len(open))
+			}
+			if !up {
+				reachable = -1
+				continue
+			}
+			if reachable < 0 {
+				reachable = now
+			}
+			for id := range live { // those that are answered are so within 10 ms, and every 2 s
+				if now-heard >= 2*time.Second || rng.IntN(20) == 0 {
+					shut, ok := p.spoke(id, now)
+					for _, s := range shut {
+						delete(open, s)
+						delete(live, s)
+					}
+					if ok {
+						heard, asked = now, 0
+					}
+					break
+				}
+			}
+			if since := now - max(heard, reachable); since > 5*time.Second {
+				t.Fatalf("seed %d: at %v nothing is heard since %v, reachable since %v", seed, now, heard, reachable)
+			}
+		}
+	}
+}
+
+// Objects may be laid out and cut anyhow.
+func TestListInPieces(t *testing.T) {
+	body := "{\"seq\":1,\"whole\":true,\"hosts\":[]}\n\n{\n  \"seq\": 2,\n\n  \"hosts\": [\n    {\"host\": \"br{ce \\\" }\\\\\"}\n  ]\n}\n\n{\"seq\":3}{\"seq\":4}\r\n\r\n"
+	for _, chunk := range []int{1, 7, len(body)} {
+		text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		for rest := body; rest != ""; {
+			n := min(chunk, len(rest))
+			text += fmt.Sprintf("%x\r\n%s\r\n", n, rest[:n])
+			rest = rest[n:]
+		}
+		for cut := range text {
+			var seqs []int64
+			beats, host := 0, ""
+			r := &listReader{beat: func() { beats++ }, told: func(l List) {
+				seqs = append(seqs, l.Seq)
+				if len(l.Hosts) > 0 {
+					host = l.Hosts[0].Name
+				}
+			}}
+			if err := r.read([]byte(text[:cut])); err != nil {
+				t.Fatal(err)
+			}
+			if err := r.read([]byte(text[cut:])); err != nil {
+				t.Fatal(err)
+			}
+			if !slices.Equal(seqs, []int64{1, 2, 3, 4}) || beats != 3 || host != "br{ce \" }\\" {
+				t.Fatalf("chunks of %d, cut at %d: lists %v, %d empty lines, host %q", chunk, cut, seqs, beats, host)
+			}
+		}
+	}
+	for _, bad := range []string{"x\n", "{]}\n", "{\"seq\":\"a\"}\n", "}\n"} {
+		r := &listReader{told: func(List) {}, beat: func() {}}
+		if err := r.read([]byte("HTTP/1.1 200 OK\r\n\r\n" + bad)); err == nil {
+			t.Errorf("%q is read as a list", bad)
+		}
+	}
+}
+
+// moved hands messages in for a destination until one goes to host, which must come within a few: the list is in force then.
+func (d *day) movesTo(host string, dest int) {
+	d.t.Helper()
+	for i := range 200 {
+		name := fmt.Sprint("to-", host, "-", i)
+		d.over(d.handOne(msg(name, "status", dest)))
+		for _, e := range d.s.Events() {
+			if e.Kind == stage.Called && e.Name == name && e.Host == host {
+				return
+			}
+		}
+	}
+	d.t.Fatalf("nothing goes to %s; log: %s", host, d.text())
+}
+
+// handOne hands a message in that must be taken.
+func (d *day) handOne(m stage.Message) []string {
+	d.t.Helper()
+	if status := d.s.Hand(d.addr, m); status != 202 {
+		d.t.Fatalf("%s: %d", m.Name, status)
+	}
+	return []string{m.Name}
+}
+
+// told waits until discovery has written a list since an event, and returns how long that took.
+func (d *day) told(since int, within time.Duration) time.Duration {
+	d.t.Helper()
+	start := time.Now()
+	if !d.s.Await(within, func(ev []stage.Event) bool { return stage.Count(ev[since:], stage.Told, "") > 0 }) {
+		d.t.Fatalf("no list is asked for within %v; log: %s", within, d.text())
+	}
+	return time.Since(start)
+}
+
+// only checks that messages go to one host.
+func (d *day) only(host, prefix string) {
+	d.t.Helper()
+	for _, e := range d.s.Events() {
+		if e.Kind == stage.Called && e.Host != host && strings.HasPrefix(e.Name, prefix) {
+			d.t.Errorf("%s went to %s", e.Name, e.Host)
+		}
+	}
+}
+
+// A watch that falls silent is opened anew in time for what it missed: a drain counts as told 6 s after the silence began.
+// Lists come indented on the new one.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	t.Parallel()
+	d := newDay(t)
+	a := d.endpoint("a", 1, "single", ok)
+	d.start()
+	d.over(d.hand("x", 1, 1, "status"))
+	d.agent.Silence()
+	d.agent.Indent()
+	since := len(d.s.Events())
+	d.list(a, "single", "draining")
+	d.endpoint("b", 1, "single", ok)
+	if took := d.told(since, 10*time.Second); took > 4*time.Second {
+		t.Errorf("the list came after %v", took)
+	}
+	d.movesTo("b", 1)
+	d.over(d.hand("y", 5, 1, "status"))
+	d.only("b", "y")
+}
+
+// Discovery is down, whatever is open then, and comes back with a change: it is heard of at once, not at the next try.
+func TestDiscoveryReturnsWithAChange(t *testing.T) {
+	t.Parallel()
+	d := newDay(t)
+	a := d.endpoint("a", 1, "single", ok)
+	d.start()
+	d.over(d.hand("x", 1, 1, "status"))
+	d.agent.Silence() // the open watch would not speak at the return
+	d.agent.Mute(true)
+	had := len(d.s.Events())
+	if !d.s.Await(10*time.Second, func(ev []stage.Event) bool { return stage.Count(ev[had:], stage.Watched, "") >= 2 }) {
+		t.Fatal("no watch is tried while discovery is down")
+	}
+	since := len(d.s.Events())
+	d.list(a, "single", "draining")
+	d.endpoint("b", 1, "single", ok)
+	d.agent.Mute(false)
+	if took := d.told(since, 10*time.Second); took > time.Second {
+		t.Errorf("the list came %v after the return", took)
+	}
+	d.movesTo("b", 1)
+	d.over(d.hand("y", 5, 1, "status"))
+	d.only("b", "y")
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -122,8 +122,7 @@
 		n.pool.Close()
 		return err
 	}
-	w := &watcher{agent: n.agent, seq: cfg.Known.Seq, told: n.heard, log: n.warn("discovery")}
-	go w.run()
+	go newWatcher(n.agent, n.elapsed, cfg.Known.Seq, n.heard, n.warn("discovery")).run()
 	go n.notes.run()
 	n.log.Info("node", "%s listens on %v: %d messages and %d notices owed, %d connections for clients, %d for endpoints", cfg.Name, n.front.Addr(),
 		len(entries), len(owed), share.clients, share.endpoints)
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -763,7 +763,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\n{\"seq\":1,\"hosts\":[{\"host\":\"a\"}]}\n"), 10)
 	f.Fuzz(func(t *testing.T, b []byte, cut int) {
 		d := NewDirectory(nil, nil)
-		r := &watchReader{told: func(l List) { d.Apply(l, time.Second) }}
+		r := &listReader{told: func(l List) { d.Apply(l, time.Second) }, beat: func() {}}
 		if cut = max(0, min(cut, len(b))); r.read(b[:cut]) == nil {
 			_ = r.read(b[cut:])
 		}
--- a/internal/platform/stage/check.go
+++ b/internal/platform/stage/check.go
@@ -20,6 +20,8 @@
 	Listed                    // the list told of a host [Host Health]
 	Outage                    // a host's outage ended: it is cold [Host]
 	Restarted                 // the dispatcher was started anew: told waits end
+	Watched                   // a watch of the list was opened
+	Told                      // a list was written to a watch
 )
 
 // Event is one thing that passed on the sockets.
--- a/internal/platform/stage/stage.go
+++ b/internal/platform/stage/stage.go
@@ -363,14 +363,17 @@
 	Addr string
 	srv  *http.Server
 
-	mu     sync.Mutex
-	seq    int
-	hosts  map[string]Host
-	lines  []string // changes since the start, by version
-	more   chan struct{}
-	mute   bool
-	status int // of answers to notices, 0 for 204
-	conns  int
+	mu      sync.Mutex
+	seq     int
+	hosts   map[string]Host
+	changes [][]Host // since the start, by version
+	more    chan struct{}
+	mute    bool // nothing is answered
+	deaf    int  // watches opened before this one have fallen silent for good
+	opened  int  // watches so far
+	indent  bool // lists come over several lines
+	status  int  // of answers to notices, 0 for 204
+	conns   int
 }
 
 // Agent opens discovery.
@@ -399,6 +402,21 @@
 	a.mu.Unlock()
 }
 
+// Silence has the watches that are open now say nothing any more; those opened later are answered.
+func (a *Agent) Silence() {
+	a.mu.Lock()
+	a.deaf = a.opened
+	a.wake()
+	a.mu.Unlock()
+}
+
+// Indent has lists laid out over several lines.
+func (a *Agent) Indent() {
+	a.mu.Lock()
+	a.indent = true
+	a.mu.Unlock()
+}
+
 // Fail has notices answered with a status, 0 for as usual.
 func (a *Agent) Fail(status int) {
 	a.mu.Lock()
@@ -423,8 +441,7 @@
 		}
 		a.s.Note(Event{Kind: Listed, Host: h.Host, Health: h.Health})
 	}
-	text, _ := json.Marshal(map[string]any{"seq": a.seq, "whole": false, "hosts": all})
-	a.lines = append(a.lines, string(text))
+	a.changes = append(a.changes, all)
 	a.wake()
 }
 
@@ -440,6 +457,8 @@
 	return string(text)
 }
 
+// list answers at once with what changed after a version, or with the whole list, and goes on as it changes. While mute it
+// says nothing; what is asked then is answered afterwards.
 func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("watch") == "" {
 		_, _ = io.WriteString(w, a.Whole())
@@ -447,26 +466,24 @@
 	}
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	flush := w.(http.Flusher)
-	if from > 0 && from <= a.version() {
-		flush.Flush()
-	} else {
-		from = a.version()
-		_, _ = io.WriteString(w, a.Whole()+"\n")
-		flush.Flush()
-	}
-	for {
+	a.mu.Lock()
+	a.opened++
+	me := a.opened
+	a.mu.Unlock()
+	a.s.Note(Event{Kind: Watched})
+	for first := true; ; {
 		a.mu.Lock()
-		var news []string
-		if !a.mute {
-			news = a.lines[from:]
-			from = len(a.lines)
+		more, mute := a.more, a.mute || me <= a.deaf
+		text := ""
+		if !mute && (first || from < a.seq) {
+			text, first, from = a.since(from), false, a.seq
 		}
-		more, mute := a.more, a.mute
 		a.mu.Unlock()
-		for _, l := range news {
-			_, _ = io.WriteString(w, l+"\n")
-		}
+		_, _ = io.WriteString(w, text)
 		flush.Flush()
+		if text != "" {
+			a.s.Note(Event{Kind: Told})
+		}
 		select {
 		case <-more:
 		case <-time.After(2 * time.Second):
@@ -480,10 +497,26 @@
 	}
 }
 
-func (a *Agent) version() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.seq
+// since is what changed after a version: changes, or the whole list where that version is not known. It is called with the
+// lock held.
+func (a *Agent) since(from int) string {
+	whole := from <= 0 || from > a.seq
+	hosts := []Host{}
+	if whole {
+		for _, h := range a.hosts {
+			hosts = append(hosts, h)
+		}
+	} else {
+		for _, change := range a.changes[from:] {
+			hosts = append(hosts, change...)
+		}
+	}
+	v := map[string]any{"seq": a.seq, "whole": whole, "hosts": hosts}
+	text, _ := json.Marshal(v)
+	if a.indent {
+		text, _ = json.MarshalIndent(v, "", "  ")
+	}
+	return string(text) + "\n"
 }
 
 func (a *Agent) outcomes(w http.ResponseWriter, r *http.Request) {
