The list outlives the process, and nothing is sent before discovery's first answer

Need: what the agent has counts as told from the first moment of a new process, and `known` in the configuration may be old. Restored messages, the front and /ready wait for the agent's first answer, half a second at most.

--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,7 +26,7 @@
 
 // place is one endpoint that is listed, or was a short while ago.
 type place struct {
-	host  string
+	host  Host // as the list has it
 	entry control.Entry
 	addr  netip.AddrPort
 	gone  time.Duration // when it left the list, 0 if it is there
@@ -106,16 +107,30 @@
 	}
 	if p == nil {
 		d.next++
-		p = &place{host: h.Name}
+		p = &place{}
 		p.entry.Endpoint = d.next
 		d.hosts[h.Name], d.byID[d.next] = p, p
 	}
 	e.Endpoint = p.entry.Endpoint
-	p.entry, p.addr, p.gone = e, addr, 0
+	p.host, p.entry, p.addr, p.gone = *h, e, addr, 0
 	d.dests[e.Dest] = now
 	return e, nil
 }
 
+// Whole returns all that is listed, as one list of that version.
+func (d *Directory) Whole(seq int64) List {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	l := List{Seq: seq, Whole: true, Hosts: []Host{}}
+	for _, p := range d.hosts {
+		if p.gone == 0 {
+			l.Hosts = append(l.Hosts, p.host)
+		}
+	}
+	slices.SortFunc(l.Hosts, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	return l
+}
+
 // maxDest bounds the numbers of destinations, as the simulator's wire does.
 const maxDest = 1<<16 - 1
 
@@ -156,7 +171,7 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	if p := d.byID[ep]; p != nil {
-		return p.host
+		return p.host.Name
 	}
 	return "unknown"
 }
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"whinrun/internal/disk"
 	"whinrun/internal/platform/stage"
 )
 
@@ -287,3 +289,97 @@
 	d.over(d.hand("y", 5, 1, "status"))
 	d.only("b", "y")
 }
+
+// What discovery had told binds the next process, too, when discovery is down and the list of the configuration is old.
+func TestRestartWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	d := newDay(t)
+	a := d.endpoint("a", 1, "single", ok)
+	d.endpoint("b", 1, "single", ok)
+	d.old = stage.Configuration(d.addr, d.agent)
+	d.start()
+	since := len(d.s.Events())
+	d.list(a, "single", "draining")
+	d.told(since, 5*time.Second)
+	d.movesTo("b", 1)
+	d.over(d.hand("x", 5, 1, "status"))
+	d.kill()
+	d.agent.Mute(true)
+	d.start()
+	d.over(d.hand("y", 10, 1, "status", "upload"))
+	d.only("b", "y")
+}
+
+// At a start with an old list nothing is sent before discovery's answer: an address may be another's by now.
+func TestRestartWithAnOldList(t *testing.T) {
+	t.Parallel()
+	d := newDay(t)
+	a := d.endpoint("a", 1, "single", always(stage.Reply{Hang: true}))
+	d.old = stage.Configuration(d.addr, d.agent)
+	d.start()
+	names := d.hand("x", 3, 1, "status", "sync")
+	d.kill()
+	a.Close()
+	d.list(a, "single", "gone")
+	other, err := d.s.Endpoint("other", 2, a.Addr, ok)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(other.Close)
+	d.list(other, "single", "ready")
+	d.endpoint("a2", 1, "single", ok)
+	d.agent.Mute(true)
+	since := len(d.s.Events())
+	go func() { // the answer comes once the watch is there, and later than a call would
+		d.s.Await(5*time.Second, func(ev []stage.Event) bool { return stage.Count(ev[since:], stage.Watched, "") > 0 })
+		d.s.Await(200*time.Millisecond, func(ev []stage.Event) bool { return stage.Count(ev[since:], stage.Called, "") > 0 })
+		d.agent.Mute(false)
+	}()
+	d.start()
+	d.over(names)
+	for _, e := range d.s.Events()[since:] {
+		if e.Kind == stage.Called && e.Host != "a2" {
+			t.Errorf("%s went to %s", e.Name, e.Host)
+		}
+	}
+}
+
+// The list that is kept: the newer one counts, one that is damaged or does not fit is none, and a failing disk leaves the one
+// before.
+func TestLastList(t *testing.T) {
+	fs := disk.NewMemory()
+	var said []string
+	k := &lastList{fs: fs, most: 2000, log: func(f string, a ...any) { said = append(said, fmt.Sprintf(f, a...)) }}
+	if _, ok := k.load(); ok {
+		t.Error("a list out of nothing")
+	}
+	hosts := []Host{{Name: "a", Dial: "127.0.0.1:1", Block: 3, Health: "draining", Share: 1.5}}
+	k.save(List{Seq: 4, Whole: true, Hosts: hosts})
+	k.save(List{Seq: 5, Whole: true, Hosts: slices.Repeat(hosts, 100)})
+	k.save(List{Seq: 6, Whole: true, Hosts: slices.Repeat(hosts, 100)})
+	fs.SetFail(func(op, _ string) error {
+		if op == "rename" {
+			return errors.New("no")
+		}
+		return nil
+	})
+	k.save(List{Seq: 7, Whole: true, Hosts: hosts})
+	fs.SetFail(nil)
+	if l, ok := k.load(); !ok || l.Seq != 4 || !l.Whole || !slices.Equal(l.Hosts, hosts) {
+		t.Errorf("%+v, %v", l, ok)
+	}
+	if names, _ := fs.List(); !slices.Equal(names, []string{listName}) || len(said) != 1 {
+		t.Errorf("files %v, said %q", names, said)
+	}
+	whole := slices.Clone(fs.Bytes(listName))
+	for cut := range whole {
+		f, err := fs.Create(listName)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = f.Write(whole[:cut])
+		if _, ok := k.load(); ok {
+			t.Fatalf("cut at %d: a list", cut)
+		}
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +43,10 @@
 	front  *front.Front
 	agent  *agent
 	notes  *noticer
+	last   *lastList
 	listed atomic.Bool
+	first  chan struct{} // closed when discovery has told its first list
+	heard1 sync.Once
 }
 
 // plan shares the descriptors out: clients can never take those of endpoints, discovery, notices and ledger.
@@ -69,7 +73,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("state folder: %w", err)
 	}
-	n := &Node{cfg: cfg, log: log, clock: engine.NewRealClock(), dir: NewDirectory(cfg.Zones, cfg.Settings.Kinds), agent: newAgent(cfg.Discovery)}
+	n := &Node{cfg: cfg, log: log, clock: engine.NewRealClock(), dir: NewDirectory(cfg.Zones, cfg.Settings.Kinds), agent: newAgent(cfg.Discovery),
+		first: make(chan struct{})}
+	n.last = &lastList{fs: folder, most: int(listPart * cfg.Limits.DiskMB * (1 << 20)), log: n.warn("discovery")}
 	if n.ledger, err = ledger.Open(folder, int64(cfg.Limits.DiskMB*(1<<20))); err != nil {
 		return nil, err
 	}
@@ -107,7 +113,7 @@
 	entries, owed := n.ledger.Owed()
 	n.loop = engine.NewLoop(core, n.clock, engine.Bounds{Queue: hold + len(entries), Hold: hold + len(entries)})
 	n.notes.put(owed...)
-	n.told(cfg.Known, control.ListCached)
+	n.discover()
 	n.restore(keep, entries)
 	go n.loop.Run()
 
@@ -118,11 +124,11 @@
 	n.front, err = front.New(front.Config{Address: cfg.Listen.String(), Loops: 1, Unread: 64 << 10}, n.desk.side, n.clock,
 		func(t string) { n.log.Warn("clients", "%s", t) }, n.desk.Open)
 	if err != nil {
+		n.agent.stop()
 		n.loop.Close()
 		n.pool.Close()
 		return err
 	}
-	go newWatcher(n.agent, n.elapsed, cfg.Known.Seq, n.heard, n.warn("discovery")).run()
 	go n.notes.run()
 	n.log.Info("node", "%s listens on %v: %d messages and %d notices owed, %d connections for clients, %d for endpoints", cfg.Name, n.front.Addr(),
 		len(entries), len(owed), share.clients, share.endpoints)
@@ -142,6 +148,28 @@
 	return func(f string, a ...any) { n.log.Warn(part, f, a...) }
 }
 
+// firstList is how long discovery's first answer is awaited at a start. It comes at once or discovery is down; until then
+// the list may name addresses that are another's by now.
+const firstList = 500 * time.Millisecond
+
+// discover begins with the newer of the two lists that are at hand, and has discovery's own before anything is sent, if it
+// answers.
+func (n *Node) discover() {
+	known := n.cfg.Known
+	if last, ok := n.last.load(); ok && last.Seq >= known.Seq {
+		known = last
+	}
+	n.told(known, control.ListCached)
+	go newWatcher(n.agent, n.elapsed, known.Seq, n.heard, n.warn("discovery")).run()
+	wait := time.NewTimer(firstList)
+	defer wait.Stop()
+	select {
+	case <-n.first:
+	case <-wait.C:
+		n.log.Warn("discovery", "no answer yet: the list of version %d is in force", known.Seq)
+	}
+}
+
 // restore hands in what the process before this one owed.
 func (n *Node) restore(k *keeper, entries []ledger.Entry) {
 	all, void := k.owed(entries, time.Now())
@@ -169,6 +197,8 @@
 		kind = control.ListFull
 	}
 	n.told(l, kind)
+	n.last.save(n.dir.Whole(l.Seq))
+	n.heard1.Do(func() { close(n.first) })
 }
 
 func (n *Node) told(l List, kind control.ListKind) {
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -28,6 +28,7 @@
 	env   map[string]string
 	addr  string
 	node  *Node
+	old   []byte // the configuration, where it is not to be written anew
 	log   bytes.Buffer
 	logMu sync.Mutex
 }
@@ -56,7 +57,11 @@
 // configure writes the configuration with the list as it is now.
 func (d *day) configure() {
 	d.t.Helper()
-	if err := os.WriteFile(d.env["EDGE_CONFIG"], stage.Configuration(d.addr, d.agent), 0o600); err != nil {
+	text := d.old
+	if text == nil {
+		text = stage.Configuration(d.addr, d.agent)
+	}
+	if err := os.WriteFile(d.env["EDGE_CONFIG"], text, 0o600); err != nil {
 		d.t.Fatal(err)
 	}
 }
