Client connections end in order: write side shut, rest read within bounds, then closed

Need: a close over bytes that are not read resets the connection and takes the last answer with it. All ends went through gnet.Close (front.go, flush and broken): a 413 or 400 in front of an upload, an answer with bytes behind it, an idle connection on which a request comes just then. Seen over loopback: 413 and 400 followed by "connection reset by peer" (TestAnswerOutlivesAnUpload). Descriptors count until the close; where clients crowd, the longest idle connection is closed as before. A stop waits for such ends, too, within its time for the last answers.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
 
 	"whinrun/internal/door"
 	"whinrun/internal/engine"
@@ -94,6 +95,7 @@
 	f       *Front
 	gc      gnet.Conn
 	session Session
+	life    life // once it has ended the session is not called any more
 
 	mu    sync.Mutex
 	inbox []Parcel
@@ -189,8 +191,8 @@
 	}
 }
 
-// waits tells whether something is not written yet. A message answered is off the connection's books only once its
-// answer is in the socket, so owes covers the answers that its event loop has not seen.
+// waits tells whether something is not written yet, or not read by a peer that was told the end. A message answered is off
+// the connection's books only once its answer is in the socket, so owes covers the answers that its event loop has not seen.
 func (c *Conn) waits() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -268,6 +270,17 @@
 	delete(f.conns, c)
 	f.mu.Unlock()
 	f.side.Leave()
+	c.end(f.elapsed())
+	return gnet.None
+}
+
+// end is the end of the session, once: of its protocol, or of its connection. The socket is closed by OnTraffic's owner, the
+// event loop, as life says.
+func (c *Conn) end(now time.Duration) {
+	if c.life.ended {
+		return
+	}
+	c.life.end(now)
 	c.mu.Lock()
 	late := c.inbox
 	c.inbox, c.gone = nil, true
@@ -276,7 +289,10 @@
 		p.Lost()
 	}
 	c.session.Lost()
-	return gnet.None
+	c.owes.Store(true) // until it is closed
+	if c.idle.Load() == 0 {
+		c.idle.Store(int64(now))
+	}
 }
 
 // Post has a parcel opened on the connection's event loop, from any goroutine, without blocking. It is false where the
@@ -313,10 +329,15 @@
 		return gnet.None
 	}
 	now := f.elapsed()
+	if c.life.ended {
+		n, _ := gc.Discard(-1) // nothing is taken from it any more
+		c.life.threw(n)
+		return c.finish(now)
+	}
 	if gc.InboundBuffered() > 0 {
 		buf, _ := gc.Next(-1)
 		if err := c.session.Receive(now, buf); err != nil {
-			return c.broken(err)
+			return c.broken(now, err)
 		}
 	}
 	c.mu.Lock()
@@ -333,7 +354,7 @@
 		c.session.Finish(now)
 	}
 	if err := c.session.Check(now); err != nil {
-		return c.broken(err)
+		return c.broken(now, err)
 	}
 	return c.flush(now)
 }
@@ -347,24 +368,43 @@
 	c.due.Store(int64(c.session.Due(now)))
 	c.rests()
 	switch {
-	case c.evict.Swap(false) && c.idle.Load() > 0 && unread == 0:
-		return gnet.Close
 	case unread > c.f.cfg.Unread: // a client that stops reading must not hold memory
 		c.Log("reads no answers: closed with %d bytes unread", unread)
 		return gnet.Close
-	case c.session.Done() && unread == 0:
+	case c.evict.Swap(false) && c.idle.Load() > 0 && unread == 0: // idle for longest: its last answer was read long ago
+		return gnet.Close
+	case c.session.Done():
+		c.end(now)
+		return c.finish(now)
+	}
+	return gnet.None
+}
+
+// finish goes on with the end of the connection. One that has to make room for others is not waited for.
+func (c *Conn) finish(now time.Duration) gnet.Action {
+	switch c.life.next(now, c.gc.OutboundBuffered()) {
+	case closeAll:
+		return gnet.Close
+	case shutWrite:
+		if err := unix.Shutdown(c.gc.Fd(), unix.SHUT_WR); err != nil {
+			return gnet.Close
+		}
+	}
+	if c.evict.Swap(false) {
 		return gnet.Close
 	}
+	c.due.Store(int64(now + tick))
 	return gnet.None
 }
 
-func (c *Conn) broken(err error) gnet.Action {
+func (c *Conn) broken(now time.Duration, err error) gnet.Action {
 	c.f.side.Malformed.Add(1)
 	c.Log("%v", err)
 	if out := c.session.Output(); len(out) > 0 {
 		_, _ = c.gc.Write(out)
 	}
-	return gnet.Close
+	c.end(now)
+	return c.finish(now)
 }
 
 // OnTick wakes the connections whose deadlines have come, and all when publishers are to stop or may go on; it runs
