--- a/internal/sitefile/sitefile.go
+++ b/internal/sitefile/sitefile.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -74,9 +75,9 @@
 	return path, os.WriteFile(path, text, 0o644)
 }
 
-// merge puts over into base: tables key by key, lists of tables by their places, all else as a whole. A key that the site
-// doesn't have is a mistake.
-func merge(base, over any, at string) (any, error) {
+// merge puts over into base: tables key by key, lists of tables by their places, all else as a whole. A key that neither the
+// site's table has nor, in a list, one of those beside it, is a mistake.
+func merge(base, over any, at string, beside ...any) (any, error) {
 	switch o := over.(type) {
 	case map[string]any:
 		b, ok := base.(map[string]any)
@@ -85,7 +86,7 @@
 		}
 		for k, v := range o {
 			old, ok := b[k]
-			if !ok {
+			if !ok && !slices.ContainsFunc(beside, func(o any) bool { return has(o, k) }) {
 				return nil, fmt.Errorf("%s.%s: the site has no such key", at, k)
 			}
 			var err error
@@ -105,7 +106,7 @@
 		var errs []error
 		for i := range o {
 			var err error
-			b[i], err = merge(b[i], o[i], fmt.Sprintf("%s[%d]", at, i))
+			b[i], err = merge(b[i], o[i], fmt.Sprintf("%s[%d]", at, i), b...)
 			errs = append(errs, err)
 		}
 		return b, errors.Join(errs...)
@@ -113,6 +114,12 @@
 	return over, nil
 }
 
+func has(table any, key string) bool {
+	t, _ := table.(map[string]any)
+	_, ok := t[key]
+	return ok
+}
+
 func isTable(v any) bool {
 	_, ok := v.(map[string]any)
 	return ok
