Crossings forced by tests; a reload counts while a dispatcher stops

Need: each pair of events that can cross is to be forced in both orders. Read on the way: the loop over signals ended at the first SIGTERM (cmd/whinrun/node.go), so a new address told by SIGHUP during a stop was not followed and notices went on to the old one. Change: signals are taken until the stop is over; a second SIGTERM changes nothing. Tests: withdrawals beside taking, delivery and failure in both orders; a connection that comes up behind its give-up; an answer beside a give-up; requests cut anywhere; clients that go before and behind their answer; SIGTERM twice, before ready, and with a reload behind it.

--- a/cmd/whinrun/node.go
+++ b/cmd/whinrun/node.go
@@ -43,16 +43,32 @@
 	if err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		if cfg, err := platform.Load(os.Getenv); err != nil {
-			log.Warn("node", "the old settings stay in force: %v", err)
-		} else {
-			n.Reload(cfg)
+	var stopped chan struct{} // nil until it stops
+	for {
+		select {
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP: // also while stopping: notices are still owed
+				reload(n, log)
+			case stopped == nil:
+				stopped = make(chan struct{})
+				go func() {
+					n.Stop()
+					close(stopped)
+				}()
+			}
+		case <-stopped:
+			return nil
 		}
 	}
-	n.Stop()
-	return nil
+}
+
+// reload has a new configuration take effect, or leaves the old one in force.
+func reload(n *platform.Node, log *logs.Logger) {
+	cfg, err := platform.Load(os.Getenv)
+	if err != nil {
+		log.Warn("node", "the old settings stay in force: %v", err)
+		return
+	}
+	n.Reload(cfg)
 }
--- a/cmd/whinrun/node_test.go
+++ b/cmd/whinrun/node_test.go
@@ -168,6 +168,71 @@
 	}
 }
 
+// A stop with a notice that nobody takes: a second SIGTERM changes nothing, a new address by SIGHUP counts, and the notice that is
+// owed goes there.
+func TestNodeReloadedWhileItStops(t *testing.T) {
+	s := stage.New()
+	n := newNode(t, s)
+	e, err := s.Endpoint("a", 1, "", func(stage.Call) stage.Reply { return stage.Reply{Status: 500} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	n.agent.Set(stage.Host{Host: "a", Dial: e.Addr, Class: "single", Block: 1, Health: "ready"})
+	n.start()
+	n.agent.Fail(503)
+	if status := s.Hand(n.addr, stage.Message{Name: "m", Class: "upload", Tenant: "acme", Dest: 1, Left: 3 * time.Second}); status != 202 {
+		t.Fatalf("answer %d", status)
+	}
+	if !s.Await(5*time.Second, func(ev []stage.Event) bool { return stage.Count(ev, stage.Answered, "m") > 0 }) {
+		t.Fatal("no call")
+	}
+	if n.agent, err = s.Agent(); err != nil {
+		t.Fatal(err)
+	}
+	defer n.agent.Close()
+	n.configure()
+	start := time.Now()
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		_ = n.cmd.Process.Signal(sig)
+	}
+	if !s.Await(3*time.Second, func(ev []stage.Event) bool { return stage.Count(ev, stage.Noticed, "m") > 0 }) {
+		t.Error("no notice at the new address")
+	}
+	if err := n.cmd.Wait(); err != nil {
+		t.Error("exit:", err)
+	}
+	if took := time.Since(start); took > 3700*time.Millisecond {
+		t.Errorf("the stop took %v", took)
+	}
+}
+
+// SIGTERM that comes while the program starts ends it in order, and what its ledger owes is kept.
+func TestNodeStoppedBeforeItIsReady(t *testing.T) {
+	s := stage.New()
+	n := newNode(t, s)
+	n.agent.Set(stage.Host{Host: "a", Dial: "127.0.0.1:1", Class: "single", Block: 1, Health: "ready"})
+	n.agent.Mute(true) // the start waits for discovery's first answer
+	n.configure()
+	n.cmd = exec.Command(n.bin, "node")
+	n.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+n.file, "EDGE_STATE="+n.state)
+	if err := n.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = n.cmd.Process.Kill() }()
+	if !s.Await(10*time.Second, func(ev []stage.Event) bool { return stage.Count(ev, stage.Watched, "") > 0 }) {
+		t.Fatal("discovery is not asked")
+	}
+	start := time.Now()
+	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	if err := n.cmd.Wait(); err != nil {
+		t.Error("exit:", err)
+	}
+	if took := time.Since(start); took > 4200*time.Millisecond { // the start's half second beside the stop's time
+		t.Errorf("the stop took %v", took)
+	}
+}
+
 // A fault of the configuration is one line that names file and key.
 func TestNodeConfigurationFault(t *testing.T) {
 	bin := build(t)
--- a/internal/engine/ledger_test.go
+++ b/internal/engine/ledger_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"whinrun/control"
@@ -127,6 +128,61 @@
 	}
 }
 
+// A sender that goes, in each order beside what happens to its message, in one round or in two: nothing new is sent for it,
+// and the ledger hears of one end.
+func TestWithdrawalCrossings(t *testing.T) {
+	for name, c := range map[string]struct {
+		rounds func(b *book, seq uint64) [][]Input
+		sent   int
+		want   []string // beside what concerns the call
+	}{
+		"in the round that takes it": {func(b *book, _ uint64) [][]Input {
+			return [][]Input{{b.msg(1, 2, 10), {Withdraw: 1}}}
+		}, 0, nil},
+		"in the next round": {func(b *book, _ uint64) [][]Input {
+			return [][]Input{{b.msg(1, 2, 10)}, {{Withdraw: 1}}}
+		}, 1, []string{"take m1", "told m1", "over m1 false"}},
+		"ahead of a delivery": {func(b *book, seq uint64) [][]Input {
+			return [][]Input{{b.msg(1, 2, 10)}, {{Withdraw: 1}, {End: &End{Seq: seq, Kind: Answered, Status: 201}}}}
+		}, 1, []string{"take m1", "told m1", "over m1 false"}},
+		"behind a delivery": {func(b *book, seq uint64) [][]Input {
+			return [][]Input{{b.msg(1, 2, 10)}, {{End: &End{Seq: seq, Kind: Answered, Status: 201}}, {Withdraw: 1}}}
+		}, 1, []string{"take m1", "told m1", "over m1 true", "final m1 served"}},
+		"ahead of a failure": {func(b *book, seq uint64) [][]Input {
+			return [][]Input{{b.msg(1, 2, 10)}, {{Withdraw: 1}, {End: &End{Seq: seq, Kind: NotConnected}}}, nil}
+		}, 1, []string{"take m1", "told m1", "over m1 false"}},
+		"behind a failure": {func(b *book, seq uint64) [][]Input {
+			return [][]Input{{b.msg(1, 2, 10)}, {{End: &End{Seq: seq, Kind: NotConnected}}, {Withdraw: 1}}, nil}
+		}, 1, []string{"take m1", "told m1", "back m1 false", "over m1 false"}},
+	} {
+		b, c2 := newBook(t)
+		now := 2 * control.Second
+		for _, in := range c.rounds(b, 1) {
+			c2.Round(now, in)
+			now += 20 * control.Millisecond
+		}
+		for range 200 {
+			next, ok := c2.Next()
+			if !ok {
+				break
+			}
+			c2.Round(max(now, next), nil)
+		}
+		var got []string
+		for _, l := range b.take() {
+			if !strings.HasPrefix(l, "out ") && !strings.HasPrefix(l, "start ") && !strings.HasPrefix(l, "abandon ") {
+				got = append(got, l)
+			}
+		}
+		if !slices.Equal(got, c.want) || len(b.calls) != c.sent {
+			t.Errorf("%s: %q, want %q; %d calls, want %d", name, got, c.want, len(b.calls), c.sent)
+		}
+		if s := c2.Stats(); s.Open != 0 {
+			t.Errorf("%s: %+v", name, s)
+		}
+	}
+}
+
 // A message that can't be kept is refused, and the module forgets it.
 func TestLedgerFull(t *testing.T) {
 	b, c := newBook(t)
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -206,6 +206,69 @@
 	r.want(engine.Unsent, 0)
 }
 
+// An attempt that is given up before its connection is there is never written; the connection serves the next one.
+func TestConnectionComesUpBehindTheGiveUp(t *testing.T) {
+	r := newRig(t)
+	call := r.start("gone")
+	r.p.Abandon(call[0], engine.CalledOff)
+	r.want(engine.Unsent, 0)
+	r.start("next")
+	c := r.conn()
+	if got := r.read(c); !strings.HasPrefix(got, "POST /next ") {
+		t.Errorf("%.40q is written", got)
+	}
+	_, _ = c.Write([]byte(okAnswer))
+	r.want(engine.Answered, 200)
+}
+
+// An answer that is there before the give-up counts; one that crosses it is dropped with its connection. Either way the attempt
+// has one end.
+func TestAnswerCrossesTheGiveUp(t *testing.T) {
+	for range 40 {
+		r := newRig(t)
+		call := r.start("a")
+		c := r.conn()
+		r.read(c)
+		go func() { _, _ = c.Write([]byte(okAnswer)) }()
+		r.p.Abandon(call[0], engine.CalledOff)
+		select {
+		case e := <-r.ends:
+			if e.Kind != engine.CalledOff && (e.Kind != engine.Answered || e.Status != 200) {
+				t.Fatalf("end %+v", e)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("no end came")
+		}
+		r.start("b") // all that the pool still does for the first is done before this one ends
+		answer := func(d net.Conn) {
+			if _, err := d.Read(make([]byte, 4096)); err == nil {
+				_, _ = d.Write([]byte(okAnswer))
+			}
+		}
+		go answer(c) // used again, or closed
+		go func() {
+			select {
+			case d := <-r.conns:
+				answer(d)
+			case <-time.After(5 * time.Second):
+			}
+		}()
+		select {
+		case e := <-r.ends:
+			if e.Seq != 2 {
+				t.Fatalf("a second end of the first: %+v", e)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("no end of the second came")
+		}
+		r.p.mu.Lock()
+		if n := len(r.p.tasks); n != 0 {
+			t.Errorf("%d tasks are kept", n)
+		}
+		r.p.mu.Unlock()
+	}
+}
+
 // An attempt that waits for a connection can be taken back: it has not run.
 func TestUnsendWhileWaiting(t *testing.T) {
 	r := newRig(t)
--- a/internal/platform/close_test.go
+++ b/internal/platform/close_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -117,3 +119,67 @@
 	}
 	d.check()
 }
+
+// A request may come in pieces cut anywhere, with the body behind the head or in one piece with it.
+func TestRequestInPieces(t *testing.T) {
+	t.Parallel()
+	d := newDay(t)
+	d.endpoint("a", 1, "single", ok)
+	d.start()
+	c := d.dial()
+	var names []string
+	form := string(stage.Form(msg("piece-000", "sync", 1)))
+	for cut := range len(form) {
+		name := fmt.Sprintf("piece-%03d", cut)
+		text := strings.ReplaceAll(form, "piece-000", name)
+		_, _ = io.WriteString(c, text[:cut])
+		if cut%16 == 0 {
+			runtime.Gosched()
+		}
+		_, _ = io.WriteString(c, text[cut:])
+		if status, err := stage.Status(c); status != 202 {
+			t.Fatalf("cut at %d: %d, %v", cut, status, err)
+		}
+		names = append(names, name)
+	}
+	d.over(names)
+}
+
+// A client that goes before it has heard wants nothing any more; one that goes behind the answer is owed the end.
+func TestClientGoesBesideItsAnswer(t *testing.T) {
+	t.Parallel()
+	d := newDay(t)
+	d.endpoint("a", 1, "single", ok)
+	d.start()
+	var heard []string
+	for i := range 60 {
+		c := d.dial()
+		name := fmt.Sprint("m", i)
+		m := msg(name, "upload", 1)
+		if _, err := c.Write(stage.Form(m)); err != nil {
+			t.Fatal(err)
+		}
+		if i%2 == 0 {
+			_ = c.Close()
+			continue
+		}
+		if status, err := stage.Status(c); status != 202 {
+			t.Fatalf("%s: %d, %v", name, status, err)
+		}
+		_ = c.Close()
+		d.s.Note(stage.Event{Kind: stage.Taken, Name: name, Class: m.Class, Dest: 1, Due: time.Now().Add(m.Left)})
+		heard = append(heard, name)
+	}
+	d.over(heard)
+	for i := range 60 {
+		if n := d.count(stage.Called, fmt.Sprint("m", i)); n > 1 {
+			t.Errorf("m%d was sent %d times", i, n)
+		}
+	}
+	if entries, _ := d.node.ledger.Owed(); len(entries) > 0 {
+		d.s.Await(5*time.Second, func([]stage.Event) bool { e, _ := d.node.ledger.Owed(); return len(e) == 0 })
+		if entries, _ = d.node.ledger.Owed(); len(entries) > 0 {
+			t.Errorf("still owed: %+v", entries)
+		}
+	}
+}
