The test of a reload during a stop waits until the stop has begun

Need: signals that are pending together are delivered in no order; the test sent them at once and passed on the old text, too. Change: it waits until /ready says 503. Seen to fail on the old text: no notice at the new address.

--- a/cmd/whinrun/node_test.go
+++ b/cmd/whinrun/node_test.go
@@ -70,6 +70,23 @@
 	n.t.Fatal("it does not listen")
 }
 
+// ready asks for its state and returns the status.
+func (n *node) ready() int {
+	n.t.Helper()
+	c, err := net.DialTimeout("tcp", n.addr, time.Second)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	_, _ = c.Write([]byte("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"))
+	status, err := stage.Status(c)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return status
+}
+
 // The program killed again and again in load: every message taken has its end, no upload is sent twice.
 func TestNodeKilledInLoad(t *testing.T) {
 	s := stage.New()
@@ -193,7 +210,10 @@
 	defer n.agent.Close()
 	n.configure()
 	start := time.Now()
-	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	for n.ready() == 200 { // until it stops: signals that are pending together come in no order
+	}
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
 		_ = n.cmd.Process.Signal(sig)
 	}
 	if !s.Await(3*time.Second, func(ev []stage.Event) bool { return stage.Count(ev, stage.Noticed, "m") > 0 }) {
