Refused before any list is known, and a class is the first part of the path

Change: 503 with a wait until a list is known; what follows the class in the path means nothing. Tests: TestStartWithoutAnyList was seen to fail on the old text (404); TestPathsOfAClass.

--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -66,8 +66,17 @@
 	}
 }
 
-// start starts the dispatcher and waits until it is ready.
+// start starts the dispatcher, which must be ready.
 func (d *day) start() {
+	d.t.Helper()
+	d.launch()
+	if status, _ := d.talk("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", time.Second); status != 200 {
+		d.t.Fatalf("ready: %d", status)
+	}
+}
+
+// launch starts the dispatcher.
+func (d *day) launch() {
 	d.t.Helper()
 	d.configure()
 	cfg, err := Load(func(k string) string { return d.env[k] })
@@ -87,9 +96,6 @@
 			node.Kill()
 		}
 	})
-	if status, _ := d.talk("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", time.Second); status != 200 {
-		d.t.Fatalf("ready: %d", status)
-	}
 }
 
 // kill ends it as a crash does.
@@ -715,6 +721,43 @@
 	d.check()
 }
 
+// Before any list is known a message is refused, not failed: nobody can tell yet that its destination is none.
+func TestStartWithoutAnyList(t *testing.T) {
+	d := newDay(t)
+	d.old = stage.Configuration(d.addr, d.agent)
+	d.agent.Mute(true)
+	d.launch()
+	if status := d.s.Hand(d.addr, msg("early", "status", 1)); status != 503 {
+		t.Errorf("a message before any list: %d", status)
+	}
+	if status, _ := d.talk("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", time.Second); status != 503 {
+		t.Errorf("ready: %d", status)
+	}
+	d.endpoint("a", 1, "single", ok)
+	since := len(d.s.Events())
+	d.agent.Mute(false)
+	d.told(since, 5*time.Second)
+	for i := 0; ; i++ {
+		name := fmt.Sprint("later", i)
+		if status := d.s.Hand(d.addr, msg(name, "status", 1)); status == 202 {
+			d.over([]string{name})
+			break
+		} else if status != 503 || i > 200 {
+			t.Fatalf("a message when the list is there: %d", status)
+		}
+	}
+}
+
+// The class is the first part of the path; what follows it means nothing here.
+func TestPathsOfAClass(t *testing.T) {
+	for path, want := range map[string]bool{"/status": true, "/status/": true, "/status/a/b": true, "/status?x=1": true, "/statuses": false,
+		"/": false, "status": false, "/x/status": false, "//status": false} {
+		if beginsWith(path, "status") != want {
+			t.Errorf("%q: %v", path, !want)
+		}
+	}
+}
+
 func TestWaitTold(t *testing.T) {
 	d := newDay(t)
 	d.endpoint("a", 1, "single", first(1, stage.Reply{Status: 429, Wait: 700 * time.Millisecond}))
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -273,7 +273,7 @@
 		}
 	}
 	class, ok := d.classes[v[1]]
-	if !ok || r.Target != "/"+v[1] {
+	if !ok || !beginsWith(r.Target, v[1]) {
 		return nil, "404 Not Found"
 	}
 	tenant, ok := d.tenants[v[2]]
@@ -288,7 +288,7 @@
 	if !ok {
 		return nil, bad
 	}
-	if !d.knows(to) {
+	if d.ready() && !d.knows(to) { // before a list is known nobody can tell: it is refused, see submit
 		return nil, "404 Not Found"
 	}
 	if d.owes(v[0]) {
@@ -302,6 +302,12 @@
 		Life: control.Time(min(left, maxWait) * float64(control.Second)), Came: control.Time(now / time.Microsecond), Body: body}, ""
 }
 
+// beginsWith tells whether the class is the first part of a path.
+func beginsWith(path, class string) bool {
+	rest, ok := strings.CutPrefix(path, "/"+class)
+	return ok && (rest == "" || rest[0] == '/' || rest[0] == '?')
+}
+
 // plain tells whether a text is visible ASCII of a length from 1 to most: it goes into heads and lines as it is.
 func plain(text string, most int) bool {
 	for _, c := range []byte(text) {
