--- a/cmd/whinrun/node_test.go
+++ b/cmd/whinrun/node_test.go
@@ -142,27 +142,36 @@
 	}
 }
 
-// SIGHUP never ends it, whatever the file holds; SIGTERM ends it in order, with 0, before 3.7 s.
-func TestNodeSignals(t *testing.T) {
+// failing starts the program beside an endpoint that answers errors.
+func failing(t *testing.T) (*stage.Stage, *node, stage.Host) {
+	t.Helper()
 	s := stage.New()
 	n := newNode(t, s)
 	e, err := s.Endpoint("a", 1, "", func(stage.Call) stage.Reply { return stage.Reply{Status: 500} })
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer e.Close()
-	n.agent.Set(stage.Host{Host: "a", Dial: e.Addr, Class: "single", Block: 1, Health: "ready"})
+	t.Cleanup(e.Close)
+	host := stage.Host{Host: "a", Dial: e.Addr, Class: "single", Block: 1, Health: "ready"}
+	n.agent.Set(host)
 	n.start()
+	return s, n, host
+}
+
+// SIGHUP never ends it, whatever the file holds; SIGTERM ends it in order, with 0, before 3.7 s.
+func TestNodeSignals(t *testing.T) {
+	s, n, host := failing(t)
 	if err := os.WriteFile(n.file, []byte("no configuration"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	_ = n.cmd.Process.Signal(syscall.SIGHUP)
 	old := n.agent
+	var err error
 	if n.agent, err = s.Agent(); err != nil {
 		t.Fatal(err)
 	}
 	defer n.agent.Close()
-	n.agent.Set(stage.Host{Host: "a", Dial: e.Addr, Class: "single", Block: 1, Health: "ready"})
+	n.agent.Set(host)
 	n.configure()
 	_ = n.cmd.Process.Signal(syscall.SIGHUP)
 	old.Close()
@@ -188,15 +197,7 @@
 // A stop with a notice that nobody takes: a second SIGTERM changes nothing, a new address by SIGHUP counts, and the notice that is
 // owed goes there.
 func TestNodeReloadedWhileItStops(t *testing.T) {
-	s := stage.New()
-	n := newNode(t, s)
-	e, err := s.Endpoint("a", 1, "", func(stage.Call) stage.Reply { return stage.Reply{Status: 500} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer e.Close()
-	n.agent.Set(stage.Host{Host: "a", Dial: e.Addr, Class: "single", Block: 1, Health: "ready"})
-	n.start()
+	s, n, _ := failing(t)
 	n.agent.Fail(503)
 	if status := s.Hand(n.addr, stage.Message{Name: "m", Class: "upload", Tenant: "acme", Dest: 1, Left: 3 * time.Second}); status != 202 {
 		t.Fatalf("answer %d", status)
@@ -204,6 +205,7 @@
 	if !s.Await(5*time.Second, func(ev []stage.Event) bool { return stage.Count(ev, stage.Answered, "m") > 0 }) {
 		t.Fatal("no call")
 	}
+	var err error
 	if n.agent, err = s.Agent(); err != nil {
 		t.Fatal(err)
 	}
