The test of a call's order takes one moment for all its messages

Seen: once in three runs on a busy machine the second of two equal messages came first: their times were read from the clock one after the other and differed by a microsecond, so the order that the test wants was not the right one. Change: one reading of the clock. The assertion is as it was.

--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -174,9 +174,10 @@
 func TestLongestLeadsACall(t *testing.T) {
 	r := newRig(t)
 	var call []*engine.Attempt
+	now := r.clock.Now() // one moment for all: two of them have the same time
 	for i, n := range []string{"short", "long", "middle", "long2"} {
 		due := []control.Time{4, 12, 8, 12}[i]
-		call = append(call, &engine.Attempt{Seq: uint64(i + 1), Msg: &engine.Message{Name: n}, Endpoint: 1, Due: r.clock.Now() + due*control.Second})
+		call = append(call, &engine.Attempt{Seq: uint64(i + 1), Msg: &engine.Message{Name: n}, Endpoint: 1, Due: now + due*control.Second})
 	}
 	r.p.Start(call)
 	c := r.conn()
