The checker knows calls whose process has ended before their answer

Seen: TestKillsUnderLoad failed once under the race detector on a busy machine, "called after it was delivered". Its events, from 72 runs on a busy machine: call 223 arrives at 53.874, the process is killed at 53.886, the stand-in writes 200 at 53.888 to nobody, the next process sends again at 53.927, as the class allows. The checker excused only answers written ahead of the kill (check.go, event). Ruled out: a repeat by the process that heard the answer; none of the runs has one. Change: an answer to a call that was out when a process ended is heard by nobody; a single-shot message is still bound by it, and a repeat behind a delivery that a living process heard is still a fault.

--- a/internal/platform/stage/check.go
+++ b/internal/platform/stage/check.go
@@ -60,7 +60,8 @@
 	ended     time.Time // by a notice
 	out       int       // the call that is out, 0 for none
 	mayRun    bool      // a call that ended may have run
-	served    bool
+	served    bool      // a process that still runs heard that it was delivered
+	orphan    int       // the call that was out when a process ended: nobody hears its answer, 0 for none
 }
 
 // Check tells which of the six rules were broken, from what passed on the sockets.
@@ -143,7 +144,7 @@
 	case Restarted:
 		clear(c.waits)
 		for _, m := range c.msgs { // an answer that was on its way is lost: what may be repeated may come again
-			m.served = false
+			m.served, m.orphan = false, m.out
 		}
 	}
 }
@@ -201,7 +202,7 @@
 	}
 	switch {
 	case e.Kind == Answered && e.Status == 200:
-		m.served, m.mayRun = true, true
+		m.served, m.mayRun = m.served || e.Call != m.orphan, true
 		if m.delivered.IsZero() {
 			m.delivered = e.At
 		}
