A time-out ahead of a message's end gives up its whole call

Read on the way: where settings forbid cancelling, sends have time-outs of their own (control.go, release). In a call of several messages such a time-out ended the one attempt and left the call open (outbound/http1.go, giveUp): the message could go again while it was out on an open connection, a second copy. With cancelling, as on the sites measured so far, time-outs are the message's end. Change: an attempt tells when its message's time is over; a time-out before that closes the connection. Test: TestTimeOutOfOneThatGoesAgain was seen to fail without the condition.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -103,6 +103,7 @@
 	Place    Place
 	Worth    float64      // of its message, as its class has it
 	Due      control.Time // it is given up then, at the latest
+	Ends     control.Time // its message's time is over then, and it is not sent again
 	Begin    control.Time // one that is not written by then is given up unsent, 0 for Due: a repeat would come too late
 	Sent     control.Time
 }
@@ -503,7 +504,7 @@
 		return
 	}
 	c.seq++
-	at := &Attempt{Seq: c.seq, Msg: h.msg, N: h.tries, Endpoint: a.Endpoint, Place: c.places[a.Endpoint], Due: h.due, Sent: c.now,
+	at := &Attempt{Seq: c.seq, Msg: h.msg, N: h.tries, Endpoint: a.Endpoint, Place: c.places[a.Endpoint], Due: h.due, Ends: h.due, Sent: c.now,
 		Begin: c.now + a.Within, Worth: c.pol.Settings.Classes[h.msg.Class].Worth}
 	if a.After > 0 {
 		at.Due = min(at.Due, c.now+a.After)
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -98,12 +98,13 @@
 	return err != unix.EAGAIN && err != unix.EINTR
 }
 
-// giveUp ends a call by closing its connection. Where only the time of one message of several is up the others wait on.
+// giveUp ends a call by closing its connection. Where only one message of several has ended with its time the others wait on;
+// one that is sent again must not be out on an open connection, too.
 func (l *h1Line) giveUp(_ time.Duration, t *task) {
 	if l.call != t.call {
 		return
 	}
-	if t.kind == engine.OutOfTime && !l.assured() && l.call.left > 1 {
+	if t.kind == engine.OutOfTime && t.a.Due >= t.a.Ends && !l.assured() && l.call.left > 1 {
 		l.c.pool.end(t, engine.End{Kind: engine.OutOfTime})
 		return
 	}
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -170,6 +170,34 @@
 	r.want(engine.Answered, 500)
 }
 
+// A time-out ahead of the message's end gives up the whole call: the message goes again, and must not be out twice.
+func TestTimeOutOfOneThatGoesAgain(t *testing.T) {
+	r := newRig(t)
+	now := r.clock.Now()
+	call := []*engine.Attempt{{Seq: 1, Msg: &engine.Message{Name: "a"}, Endpoint: 1, Due: now + 2*control.Second, Ends: now + 9*control.Second},
+		{Seq: 2, Msg: &engine.Message{Name: "b"}, Endpoint: 1, Due: now + 9*control.Second, Ends: now + 9*control.Second}}
+	r.p.Start(call)
+	c := r.conn()
+	r.read(c)
+	r.p.Abandon(call[0], engine.OutOfTime)
+	got := map[uint64]engine.EndKind{}
+	for range call {
+		select {
+		case e := <-r.ends:
+			got[e.Seq] = e.Kind
+		case <-time.After(5 * time.Second):
+			t.Fatalf("ends: %v", got)
+		}
+	}
+	if got[1] != engine.OutOfTime || got[2] != engine.ResetUnanswered {
+		t.Errorf("ends: %v", got)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("the connection is open: %v", err)
+	}
+}
+
 // The message with the most time leads a call, so that the first of a call is never over before the others.
 func TestLongestLeadsACall(t *testing.T) {
 	r := newRig(t)
