The test of blocked publishers lets the partner answer only once the hold is full

The test let the partner answer when the first word of "blocked" came, while publications were still on their way: room was made for them. Change: 20 publications must have come back first; bounds and counts are as they were.

--- a/internal/service/amqp_test.go
+++ b/internal/service/amqp_test.go
@@ -299,6 +299,14 @@
 	if b := <-blocked; !b.Active || b.Reason == "" {
 		t.Errorf("%+v", b)
 	}
+	// The partner answers only when the hold is full and the rest has come back: else room is made while they still come.
+	for n := range 20 {
+		select {
+		case <-returns:
+		case <-within(t).Done():
+			t.Fatalf("%d returned while the partner answers nothing", n)
+		}
+	}
 	close(go_)
 	acks, nacks := 0, 0
 	for _, d := range confirms {
@@ -310,8 +318,8 @@
 			nacks++
 		}
 	}
-	if nacks < 20 || len(returns) != nacks || acks < 8 {
-		t.Errorf("%d acks, %d nacks, %d returned", acks, nacks, len(returns))
+	if nacks < 20 || 20+len(returns) != nacks || acks < 8 {
+		t.Errorf("%d acks, %d nacks, %d returned", acks, nacks, 20+len(returns))
 	}
 	if b := <-blocked; b.Active {
 		t.Errorf("%+v", b)
