Discovery: one way to connect, and no flag beside the version

Need: the whole change read again. agent.dial dialled as agent.connect does; watcher.fresh told what the version already does: it is set to 0 at a change of the address, and no list has a lower one. Change: dial calls connect; the flag is out. Behaviour is as it was. Ruled out for more: the rows that `duplicates` names are import blocks and the opening of two tests. Measured: gofmt and vet clean, tests of platform and cmd/whinrun pass.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -66,21 +66,19 @@
 	}
 }
 
-// connect opens a connection that its caller owns.
-func (a *agent) connect(ctx context.Context) (net.Conn, error) {
+// connect opens a connection that its caller owns, and tells where to.
+func (a *agent) connect(ctx context.Context) (net.Conn, netip.AddrPort, error) {
 	a.mu.Lock()
 	addr := a.addr
 	a.mu.Unlock()
 	d := net.Dialer{Timeout: agentConnect}
-	return d.DialContext(ctx, "tcp", addr.String())
+	c, err := d.DialContext(ctx, "tcp", addr.String())
+	return c, addr, err
 }
 
 // dial opens a connection that a change of the address ends.
 func (a *agent) dial() (net.Conn, error) {
-	a.mu.Lock()
-	addr := a.addr
-	a.mu.Unlock()
-	c, err := net.DialTimeout("tcp", addr.String(), agentConnect)
+	c, addr, err := a.connect(context.Background())
 	if err != nil {
 		return nil, err
 	}
@@ -125,8 +123,7 @@
 type watcher struct {
 	agent *agent
 	now   func() time.Duration
-	seq   int64 // version of the list as told last
-	fresh bool  // the next list of a watch counts whatever its version is: the address has changed
+	seq   int64 // version of the list as told last, 0 behind a change of the address: any counts then
 	told  func(List)
 	log   func(format string, a ...any)
 
@@ -159,7 +156,7 @@
 			return
 		case <-moved:
 			moved = w.agent.change()
-			w.seq, w.fresh = 0, true
+			w.seq = 0
 			w.shut(w.plan.moved())
 		case e := <-w.events:
 			w.take(e)
@@ -199,8 +196,8 @@
 		return
 	}
 	// Changes that are known already change nothing: a watch may begin before those of the one that it follows ended.
-	if l := e.list; l.Whole || l.Seq >= w.seq || w.fresh {
-		w.seq, w.fresh = l.Seq, false
+	if l := e.list; l.Whole || l.Seq >= w.seq {
+		w.seq = l.Seq
 		w.told(*l)
 	}
 }
@@ -219,7 +216,7 @@
 }
 
 func (w *watcher) follow(ctx context.Context, from int64, tell func(watchEvent)) error {
-	c, err := w.agent.connect(ctx)
+	c, _, err := w.agent.connect(ctx)
 	if err != nil {
 		return err
 	}
