A test reproduces the incident: copies of answers that arrive while the next call is out

Real sockets on loopback: the stand-in of an endpoint sends an answer again after a time (testbed.Copy), whole or cut off; one in four here, beside 503 to a quarter of the calls.

--- /dev/null
+++ b/internal/platform/copies_test.go
@@ -0,0 +1,106 @@
+package platform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"whinrun/internal/testbed"
+)
+
+// copyDelays is a range of times from an answer until its copy.
+type copyDelays struct{ min, max time.Duration }
+
+// random returns a delay of the range.
+func (d copyDelays) random(rng *rand.Rand) time.Duration {
+	return d.min + time.Duration(rng.Int64N(int64(d.max-d.min)))
+}
+
+// copyingEndpoint returns a handler that refuses a quarter of the calls and answers the others, after 30 to 180 ms. One
+// answer in four is sent again. With cut set, half of these copies are cut off.
+func copyingEndpoint(seed uint64, delays copyDelays, cut bool) func(testbed.Call) testbed.Reply {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 45))
+	return func(testbed.Call) testbed.Reply {
+		mu.Lock()
+		defer mu.Unlock()
+		r := testbed.Reply{Status: 200, Delay: time.Duration(30+rng.IntN(150)) * time.Millisecond}
+		if rng.IntN(4) == 0 {
+			r.Status = 503
+		}
+		for rng.IntN(4) == 0 {
+			c := testbed.Copy{After: delays.random(rng)}
+			if cut && rng.IntN(2) == 0 {
+				c.Cut = 1 + rng.IntN(40)
+			}
+			r.Copies = append(r.Copies, c)
+		}
+		return r
+	}
+}
+
+// submitSteadily submits count messages, 25 ms apart, to destinations 1 and 2, and returns the ids of the accepted ones.
+func (d *testDispatcher) submitSteadily(count int) (names []string) {
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	for i := range count {
+		class := []string{"status", "sync", "upload"}[i%3]
+		m := newMessage(fmt.Sprintf("m-%s-%d", class, i), class, 1+i%2)
+		clients.Go(func() {
+			if d.bed.Submit(d.addr, m) == 202 {
+				mu.Lock()
+				defer mu.Unlock()
+				names = append(names, m.Name)
+			}
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	clients.Wait()
+	return names
+}
+
+// Guards against a second copy of an answer that arrives while the next call is out and is taken for its answer: turned
+// away messages then count as delivered, and messages that may have been executed are sent again.
+func TestCopiedAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		kind   string
+		delays copyDelays
+		cut    bool
+	}{
+		{"soon single", "single", copyDelays{0, 20 * time.Millisecond}, false},
+		{"soon bulk", "bulk", copyDelays{0, 20 * time.Millisecond}, false},
+		{"late single", "single", copyDelays{100 * time.Millisecond, 300 * time.Millisecond}, false},
+		{"late bulk", "bulk", copyDelays{100 * time.Millisecond, 300 * time.Millisecond}, false},
+		{"very late", "bulk", copyDelays{300 * time.Millisecond, time.Second}, false},
+		{"very late single", "single", copyDelays{300 * time.Millisecond, time.Second}, false},
+		{"cut single", "single", copyDelays{0, 300 * time.Millisecond}, true},
+		{"cut bulk", "bulk", copyDelays{0, 300 * time.Millisecond}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := newTestDispatcher(t)
+			for i, dest := range []int{1, 1, 2, 2} {
+				d.addEndpoint(fmt.Sprintf("e%d", i), dest, test.kind, copyingEndpoint(uint64(i), test.delays, test.cut))
+			}
+			d.startReady()
+			names := d.submitSteadily(120)
+			d.bed.Await(5*time.Second, func(ev []testbed.Event) bool { return testbed.AllEnded(ev, names) })
+			d.checkRules()
+			if d.countEvents(testbed.AnswerCopied, "") == 0 {
+				t.Error("no answer was copied")
+			}
+			delivered := map[string]bool{}
+			for _, e := range d.bed.Events() {
+				if e.Kind == testbed.CallAnswered && e.Status == 200 {
+					delivered[e.Name] = true
+				}
+			}
+			if len(delivered) < len(names)*8/10 {
+				t.Errorf("%d of %d messages delivered", len(delivered), len(names))
+			}
+		})
+	}
+}
--- a/internal/testbed/check.go
+++ b/internal/testbed/check.go
@@ -43,6 +43,8 @@
 	NetworkDisturbed
 	// ClosedUnanswered records that a dispatcher closed a connection on a whole request without an answer [Name Node].
 	ClosedUnanswered
+	// AnswerCopied records that a second copy of the answer to a call was written [Host Call].
+	AnswerCopied
 )
 
 // Event is one observation on the sockets of the test bed. Kind decides which of the fields are set.
@@ -492,7 +494,7 @@
 // kindNames holds the name of each kind in a printed event.
 var kindNames = [...]string{Accepted: "taken", Refused: "refused", CallReceived: "called", CallAnswered: "answered", CallBroken: "broke", NoticeReceived: "noticed",
 	HealthListed: "listed", OutageBegan: "outage began", OutageEnded: "outage ended", Restarted: "restarted", WatchOpened: "watched", ListSent: "told",
-	NetworkDisturbed: "unheard", ClosedUnanswered: "closed"}
+	NetworkDisturbed: "unheard", ClosedUnanswered: "closed", AnswerCopied: "copied"}
 
 // String formats the event as one line.
 func (e Event) String() string {
@@ -502,7 +504,7 @@
 			line += " " + field.name + " " + field.text
 		}
 	}
-	if e.Kind == CallReceived || e.Kind == CallAnswered || e.Kind == CallBroken {
+	if e.Kind == CallReceived || e.Kind == CallAnswered || e.Kind == CallBroken || e.Kind == AnswerCopied {
 		line += fmt.Sprintf(" dest %d call %d", e.Dest, e.Call)
 	}
 	if e.Status != 0 {
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -57,6 +57,16 @@
 	TrailingBytes string
 	// Close closes the connection after the answer.
 	Close bool
+	// Copies are sent after the answer, whatever the connection carries by then.
+	Copies []Copy
+}
+
+// Copy is a second copy of an answer, which belongs to no call.
+type Copy struct {
+	// After is the time from the answer until the copy.
+	After time.Duration
+	// Cut is the number of bytes of the answer that the copy consists of, 0 for all.
+	Cut int
 }
 
 // Call is a call as an endpoint received it.
@@ -68,6 +78,8 @@
 	Number          int
 	IdempotencyKeys []string
 	Body            string
+	// Bulk is set for a call in the form for several messages, also where it has one.
+	Bulk bool
 }
 
 // Testbed records events and creates the endpoints, agents and proxies that report them.
@@ -278,7 +290,7 @@
 // serveCall answers one call. It returns false when the connection is to be closed.
 func (e *Endpoint) serveCall(c net.Conn, r *h1.Request, body []byte) bool {
 	call := Call{Host: e.Host, Dest: e.Dest, Body: string(body)}
-	if r.Target == "/inbox/bulk" {
+	if call.Bulk = r.Target == "/inbox/bulk"; call.Bulk {
 		call.MessageNames, call.IdempotencyKeys = parseBulkBody(string(body))
 	} else {
 		call.MessageNames, call.IdempotencyKeys = []string{r.Fields.Get("x-txn")}, []string{r.Fields.Get("idempotency-key")}
@@ -325,13 +337,26 @@
 	if _, err := io.WriteString(c, text+reply.TrailingBytes); err != nil {
 		return false
 	}
+	for _, answerCopy := range reply.Copies {
+		time.AfterFunc(answerCopy.After, func() { e.sendCopy(c, text, answerCopy, call) })
+	}
 	return !reply.Close
 }
 
-// formatResponse formats an answer. A 200 for several messages gets a body that confirms each of them.
+// sendCopy sends an answer again. The kernel keeps the writes of several goroutines to a connection apart.
+func (e *Endpoint) sendCopy(c net.Conn, answer string, answerCopy Copy, call Call) {
+	if answerCopy.Cut > 0 && answerCopy.Cut < len(answer) {
+		answer = answer[:answerCopy.Cut]
+	}
+	if _, err := io.WriteString(c, answer); err == nil {
+		e.testbed.Record(Event{Kind: AnswerCopied, Host: e.Host, Call: call.Number})
+	}
+}
+
+// formatResponse formats an answer. A 200 for a bulk call gets a body that confirms each message.
 func formatResponse(reply Reply, call Call) string {
 	body := reply.Body
-	if reply.Status == 200 && len(call.MessageNames) > 1 && body == "" {
+	if reply.Status == 200 && call.Bulk && body == "" {
 		for _, n := range call.MessageNames {
 			body += n + " done\r\n"
 		}
