--- a/internal/platform/notices.go
+++ b/internal/platform/notices.go
@@ -59,29 +59,13 @@
 // and then counts as acknowledged.
 func (n *noticeSender) run() {
 	defer close(n.done)
-	var c net.Conn
 	backoff := noticeBackoffMin
 	for {
-		n.mu.Lock()
-		batch := n.queue[:min(maxNoticesPerRequest, len(n.queue)):min(maxNoticesPerRequest, len(n.queue))]
-		n.mu.Unlock()
+		batch := n.nextBatch()
 		if len(batch) == 0 {
-			select {
-			case <-n.wake:
-				continue
-			case <-n.agent.quit:
-				return
-			}
-		}
-		reused := c != nil
-		var status int
-		var err error
-		if c == nil {
-			c, err = n.agent.dial()
-		}
-		if err == nil {
-			status, err = postNotices(c, batch)
+			return
 		}
+		status, err := n.post(batch)
 		if err == nil && (status == 204 || status == 200 || status == 400) {
 			if status == 400 {
 				n.log("%d notices were not understood", len(batch))
@@ -90,15 +74,6 @@
 			backoff = noticeBackoffMin
 			continue
 		}
-		if c != nil {
-			n.agent.closeConn(c)
-			c = nil
-		}
-		// A reused connection may have been closed while it was idle, so the batch is sent again at once on a
-		// new one.
-		if reused && err != nil && !n.agent.stopped() {
-			continue
-		}
 		if n.agent.stopped() {
 			return
 		}
@@ -110,6 +85,35 @@
 	}
 }
 
+// nextBatch waits for notices and returns the oldest ones. It returns none if the agent is stopped.
+func (n *noticeSender) nextBatch() []ledger.Notice {
+	for {
+		n.mu.Lock()
+		size := min(maxNoticesPerRequest, len(n.queue))
+		batch := n.queue[:size:size]
+		n.mu.Unlock()
+		if size > 0 {
+			return batch
+		}
+		select {
+		case <-n.wake:
+		case <-n.agent.quit:
+			return nil
+		}
+	}
+}
+
+// post sends one request on a connection of its own and returns the status of its response. The response names no notice.
+// On a connection with earlier requests it could be a second copy of an earlier response.
+func (n *noticeSender) post(batch []ledger.Notice) (int, error) {
+	c, err := n.agent.dial()
+	if err != nil {
+		return 0, err
+	}
+	defer n.agent.closeConn(c)
+	return postNotices(c, batch)
+}
+
 // dequeue reports a batch as acknowledged and removes it from the queue.
 func (n *noticeSender) dequeue(batch []ledger.Notice) {
 	names := make([]string, len(batch))
@@ -154,7 +158,7 @@
 	body := encodeNotices(batch)
 	_ = c.SetDeadline(clock.After(agentTimeout))
 	req := h1.AppendHead(nil, "POST /v1/outcomes HTTP/1.1", "Host", "discovery", "Content-Type", "application/x-ndjson",
-		"Content-Length", strconv.Itoa(len(body)))
+		"Connection", "close", "Content-Length", strconv.Itoa(len(body)))
 	if _, err := c.Write(append(req, body...)); err != nil {
 		return 0, err
 	}
@@ -168,10 +172,6 @@
 		case parseErr != nil:
 			return 0, parseErr
 		case size > 0 && head.Length >= 0 && int64(len(received)-size) >= head.Length:
-			if head.Close {
-				// The next request fails on the closed connection and opens a new one.
-				_ = c.Close()
-			}
 			return head.Status, nil
 		case size > 0 && (head.Length < 0 || head.Length > int64(maxResponseBody)):
 			return head.Status, fmt.Errorf("status %d: response body has no length or is too large", head.Status)
