--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -249,7 +250,19 @@
 	}
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
-	r := &listReader{onList: func(l EndpointList) { send(watchEvent{list: &l}) }, onHeartbeat: func() { send(watchEvent{}) }}
+	// The first list may have any version, because discovery may count anew.
+	latest := int64(math.MinInt64)
+	onList := func(l EndpointList) {
+		// The versions of one watch only rise. A lower one is a second copy of a list, and would undo later changes.
+		if l.Seq < latest {
+			w.log("list of version %d behind version %d on one watch: skipped", l.Seq, latest)
+			send(watchEvent{})
+			return
+		}
+		latest = l.Seq
+		send(watchEvent{list: &l})
+	}
+	r := &listReader{onList: onList, onHeartbeat: func() { send(watchEvent{}) }}
 	_, err = c.Write(h1.AppendHead(nil, fmt.Sprintf("GET /v1/endpoints?watch=1&from=%d HTTP/1.1", from), "Host", "discovery"))
 	buf := make([]byte, 16<<10)
 	for err == nil {
