A second copy of a request is not taken on after the first has ended

While the message was outstanding it was answered 409; once it had ended, or was refused, the copy was taken on as a new message. The copy gets 409 as before and ends its connection, on which requests and answers no longer match for the sender.

--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -47,6 +47,8 @@
 	knowsDestination func(dest int) bool
 	// isOutstanding reports whether a message with an id has no final answer, or its notice is not acknowledged.
 	isOutstanding func(name string) bool
+	// recentIDs holds the ids of the messages that were handed in lately.
+	recentIDs *recentIDs
 	// ready reports whether an endpoint list is known.
 	ready func() bool
 	// admission limits and counts the clients' messages and connections.
@@ -60,7 +62,7 @@
 // NewClientHandler returns a ClientHandler for the classes and tenants of settings s. Its function fields
 // must be set before the first session opens.
 func NewClientHandler(s control.Settings, side *admission.Frontend) *ClientHandler {
-	h := &ClientHandler{admission: side, trace: func(string, ...any) {}}
+	h := &ClientHandler{admission: side, recentIDs: newRecentIDs(), trace: func(string, ...any) {}}
 	h.classes, h.tenants = indexByName(&s)
 	for _, c := range s.Classes {
 		h.requiresKey = append(h.requiresKey, c.Effect == control.Deduplicated)
@@ -364,13 +366,14 @@
 	if h.ready() && !h.knowsDestination(dest) {
 		return nil, "404 Not Found"
 	}
-	if h.isOutstanding(values[0]) {
-		return nil, "409 Conflict"
-	}
 	orderKey, ok := parseOrderKey(r.Fields)
 	if !ok {
 		return nil, bad
 	}
+	// The connection ends behind a copy, because answers and requests on it no longer match for its sender.
+	if !h.recentIDs.add(values[0], now) || h.isOutstanding(values[0]) {
+		return nil, "409 Conflict"
+	}
 	return &engine.Message{Class: class, Tenant: tenant, Dest: dest, OrderKey: orderKey, ExternalID: values[0], IdempotencyKey: values[5],
 		Lifetime: control.Time(min(remaining, maxSeconds) * float64(control.Second)), ReceivedAt: control.Time(now / time.Microsecond), Body: body}, ""
 }
