Soak: copied answers, lists and requests, kept connections, signals in series, crowds

Need: the fault rig had no peer that says something twice, and its clients used a new connection each time. New kinds: copies and parts of answers up to a second late, the agent's answers and lists again, requests twice, SIGTERM with SIGKILL behind the restart, SIGHUP with SIGTERM, SIGSTOP around SIGTERM. Two clients a node keep their connections and go on until these end; a request that crosses the end is sent once more, and 409 to that says that it had been read.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -89,16 +89,21 @@
 	if errors.Is(err, errNoAnswer) && stateBefore == up && n.epoch.Load() == epoch && n.exhaustions.Load() == 0 {
 		r.testbed.Record(testbed.Event{Kind: testbed.ClosedUnanswered, Name: m.Name, Node: n.name})
 	}
+	r.recordAnswer(n, m, sent, status)
+}
+
+// recordAnswer records what a client was answered, 0 for nothing.
+func (r *run) recordAnswer(n *node, m testbed.Message, sent time.Time, status int) {
 	e := testbed.Event{Kind: testbed.Refused, Name: m.Name, Status: status, Node: n.name}
 	if status == 202 || status == 200 {
-		e = testbed.Event{Kind: testbed.Accepted, Name: m.Name, Class: m.Class, Dest: m.Dest, Due: sent.Add(m.Remaining), Key: m.OrderKey, Node: n.name}
+		e = testbed.Event{Kind: testbed.Accepted, Name: m.Name, Class: m.Class, Dest: m.Dest, Due: sent.Add(m.Remaining), Key: m.OrderKey, Node: n.name, Sent: sent}
 		r.acceptedCount.Add(1)
 	}
 	r.testbed.Record(e)
 }
 
-// exchange writes a request and reads the status of its answer, 0 where none came in time. The error is errNoAnswer
-// where the connection ended first.
+// exchange writes a request on a new connection, in a number of pieces, and reads the status of its answer as exchangeOn
+// does.
 func exchange(addr string, text []byte, pieces int) (int, error) {
 	c, err := net.DialTimeout("tcp", addr, submitTimeout)
 	if err != nil {
@@ -106,19 +111,34 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(clock.After(submitTimeout))
-	for i := range pieces {
+	for i := range pieces - 1 {
 		if _, err := c.Write(text[len(text)*i/pieces : len(text)*(i+1)/pieces]); err != nil {
 			return 0, err
 		}
 	}
+	return exchangeOn(c, text[len(text)*(pieces-1)/pieces:])
+}
+
+// exchangeOn writes a request and reads the status of its answer, 0 where none came in time. The error is errNoAnswer where
+// the connection ended first.
+func exchangeOn(c net.Conn, text []byte) (int, error) {
+	_ = c.SetDeadline(clock.After(submitTimeout))
+	if _, err := c.Write(text); err != nil {
+		return 0, err
+	}
 	status, err := testbed.ReadStatus(c)
-	var netErr net.Error
-	if err != nil && !(errors.As(err, &netErr) && netErr.Timeout()) {
+	if err != nil && !isTimeout(err) {
 		err = errNoAnswer
 	}
 	return status, err
 }
 
+// isTimeout reports whether an error of a connection is that its deadline has passed.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // malformedRequests are requests that a dispatcher cannot use. Each has to be answered by an error or a close.
 var malformedRequests = []string{
 	"\x16\x03\x01\x00\xff\x00\r\n\r\n",
@@ -144,9 +164,7 @@
 	_ = c.SetDeadline(clock.After(errorAnswerTimeout + 500*time.Millisecond))
 	_, _ = io.WriteString(c, text)
 	status, err := testbed.ReadStatus(c)
-	var netErr net.Error
-	timedOut := errors.As(err, &netErr) && netErr.Timeout()
-	if (timedOut || status > 0 && status < 400) && stateBefore == up && n.epoch.Load() == epoch {
+	if (isTimeout(err) || status > 0 && status < 400) && stateBefore == up && n.epoch.Load() == epoch {
 		r.violation("%s: a client that sent %.20q has neither an error nor a close: status %d, %v", n.name, text, status, err)
 	}
 }
@@ -192,5 +210,72 @@
 	return testbed.ReadStatuses(c, n)
 }
 
+// sendTwice sends a request twice on one connection, the second time after a pause. Only the first one may be taken.
+func (r *run) sendTwice(n *node, m testbed.Message, pause time.Duration) {
+	sent := r.testbed.Now()
+	c, err := net.DialTimeout("tcp", n.addr, submitTimeout)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	text := testbed.EncodeRequest(m)
+	_ = c.SetDeadline(clock.After(submitTimeout))
+	if _, err := c.Write(text); err != nil {
+		return
+	}
+	status, _ := testbed.ReadStatus(c)
+	r.recordAnswer(n, m, sent, status)
+	time.Sleep(pause)
+	_ = c.SetDeadline(clock.After(submitTimeout))
+	if _, err := c.Write(text); err != nil {
+		return
+	}
+	if again, _ := testbed.ReadStatus(c); again > 0 && again < 400 && status != 0 {
+		r.violation("%s: a request is answered %d, and its copy %d", n.name, status, again)
+	}
+}
+
+// keepAliveClient submits messages on one connection, one at a time, for as long as it stays open, also while the node
+// stops. A request that crosses the end of the connection is sent once more on a new one.
+func (r *run) keepAliveClient(ctx context.Context, n *node, rng *rand.Rand) {
+	var c net.Conn
+	defer func() {
+		if c != nil {
+			_ = c.Close()
+		}
+	}()
+	for ctx.Err() == nil {
+		if c == nil {
+			var err error
+			if c, err = net.DialTimeout("tcp", n.addr, submitTimeout); err != nil {
+				c = nil
+				time.Sleep(100 * time.Millisecond)
+				continue
+			}
+		}
+		m := r.newMessage(rng, n)
+		epoch, stateBefore, sent := n.epoch.Load(), nodeState(n.state.Load()), r.testbed.Now()
+		status, err := exchangeOn(c, testbed.EncodeRequest(m))
+		if err != nil && !isTimeout(err) && stateBefore != down {
+			// A request that the node has not read is sent again. One that it has read is answered 409, and is lost.
+			sent = r.testbed.Now()
+			again, _ := exchange(n.addr, testbed.EncodeRequest(m), 1)
+			if again == 409 && n.epoch.Load() == epoch && n.exhaustions.Load() == 0 {
+				r.violation("%s: the connection of %s was ended with no answer, and it had been read", n.name, m.Name)
+			}
+			status = again
+		}
+		r.recordAnswer(n, m, sent, status)
+		if err != nil || status == 0 {
+			_ = c.Close()
+			c = nil
+		}
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(keepAlivePause)))
+	}
+}
+
+// keepAlivePause is the mean time between two requests of a client that keeps its connection.
+const keepAlivePause = 150 * time.Millisecond
+
 // counter is a counter of the clients and messages of a run.
 type counter = atomic.Int64
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -269,12 +270,31 @@
 		return testbed.Reply{Status: 503, Delay: delay}
 	case "waits":
 		return testbed.Reply{Status: 429, RetryAfter: time.Duration(200+call.Number*37%700) * time.Millisecond, Delay: delay}
+	case "copies", "parts":
+		return copiedReply(call, mode.kind == "parts")
 	case "slow":
 		return testbed.Reply{Status: 200, Delay: time.Duration(200+call.Number*53%900) * time.Millisecond}
 	}
 	return malformedReply(call, delay)
 }
 
+// copiedReply returns an answer after up to 0.2 s. One in four is a refusal, and one in two is sent again, some of them
+// twice. With parts set, the copies are cut off.
+func copiedReply(call testbed.Call, parts bool) testbed.Reply {
+	rng := rand.New(rand.NewPCG(uint64(call.Number), 0xc0b1))
+	r := testbed.Reply{Status: []int{200, 200, 200, 503}[rng.IntN(4)], Delay: time.Duration(5+rng.IntN(195)) * time.Millisecond}
+	// Most copies come soon, some up to a second later.
+	longest := []int{10, 100, 1000}[rng.IntN(3)]
+	for rng.IntN(2) == 0 {
+		c := testbed.Copy{After: time.Duration(rng.IntN(longest)) * time.Millisecond}
+		if parts {
+			c.Cut = 1 + rng.IntN(60)
+		}
+		r.Copies = append(r.Copies, c)
+	}
+	return r
+}
+
 // malformedReply returns an answer that cannot be parsed, or one with extra bytes after it.
 func malformedReply(call testbed.Call, delay time.Duration) testbed.Reply {
 	single := len(call.MessageNames) == 1
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -189,6 +190,13 @@
 	return n.awaitExit()
 }
 
+// pause stops the process by SIGSTOP for up to 0.15 s.
+func (n *node) pause(rng *rand.Rand) {
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(time.Duration(20+rng.IntN(130)) * time.Millisecond)
+	n.signal(syscall.SIGCONT)
+}
+
 // stop ends the process by SIGTERM.
 func (n *node) stop() error {
 	n.markEnding(stopping)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -52,6 +52,12 @@
 	{"kill-twice", 2},
 	// SIGTERM and a restart.
 	{"stop", 2},
+	// SIGTERM, SIGKILL after 3.7 s if the process still runs, a restart, and SIGKILL while it recovers.
+	{"stop-kill", 1},
+	// SIGHUP with another agent, and SIGTERM right behind it.
+	{"reload-stop", 1},
+	// SIGSTOP for up to 0.15 s, SIGTERM, and the same again during the stop.
+	{"pause-stop", 1},
 	// SIGSTOP for up to 0.15 s.
 	{"pause", 4},
 	// SIGHUP with another agent for discovery, half of the time after a malformed file.
@@ -72,6 +78,10 @@
 	{"slow", 2},
 	// An endpoint sends malformed answers.
 	{"spoilt", 2},
+	// An endpoint sends answers again, up to a second later.
+	{"copies", 4},
+	// An endpoint sends the first part of answers again, up to a second later.
+	{"parts", 1},
 	// Connections to an endpoint are refused.
 	{"refuse", 2},
 	// The network to an endpoint lets nothing pass.
@@ -88,6 +98,10 @@
 	{"silence", 2},
 	// An agent fails notices.
 	{"notices", 2},
+	// An agent sends answers and lists again.
+	{"agent-copies", 2},
+	// Requests come twice on their connections.
+	{"request-copies", 2},
 	// Clients send malformed requests.
 	{"rude", 2},
 	// Clients stop in the middle of a request.
@@ -127,9 +141,22 @@
 		faults[i] = Fault{At: time.Duration(rng.Float64() * float64(c.Duration)), Kind: names[rng.IntN(len(names))], Target: rng.IntN(1 << 20),
 			Duration: time.Duration((0.2 + 2.8*rng.Float64()*rng.Float64()) * float64(time.Second))}
 	}
+	if c.crowded() {
+		for node := range c.Nodes {
+			faults = append(faults, Fault{Kind: "crowd", Target: node, Duration: c.Duration})
+		}
+	}
 	slices.SortFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
 
+// crowdedSeeds says how many seeds there are for each run that is crowded from its beginning to its end.
+const crowdedSeeds = 5
+
+// crowded reports whether idle clients fill the descriptors of all nodes throughout the run.
+func (c *Config) crowded() bool {
+	return c.Seed%crowdedSeeds == 0 && (len(c.FaultKinds) == 0 || slices.Contains(c.FaultKinds, "crowd"))
+}
+
 // joinNames joins names for a message.
 func joinNames(names []string) string { return strings.Join(names, ", ") }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -90,6 +90,10 @@
 	var loadGenerators sync.WaitGroup
 	for _, n := range r.nodes {
 		loadGenerators.Go(func() { r.generateLoad(loadCtx, n) })
+		for i := range keepAliveClients {
+			rng := rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+n.number*keepAliveClients+i)))
+			loadGenerators.Go(func() { r.keepAliveClient(loadCtx, n, rng) })
+		}
 	}
 	plan := r.cfg.plan()
 	r.runPlan(ctx, plan)
@@ -101,6 +105,9 @@
 	return r.result(plan), nil
 }
 
+// keepAliveClients is the number of clients of each node that keep their connections.
+const keepAliveClients = 2
+
 // startNodes creates the environment and starts all nodes.
 func (r *run) startNodes() error {
 	var err error
@@ -149,12 +156,12 @@
 	n := r.nodes[f.Target%len(r.nodes)]
 	rng := r.newFaultRNG()
 	switch f.Kind {
-	case "kill", "kill-twice", "stop", "pause", "reload", "files":
+	case "kill", "kill-twice", "stop", "stop-kill", "reload-stop", "pause-stop", "pause", "reload", "files":
 		r.runProcessFault(f, n, rng)
-	case "rude", "halves", "crowd", "pipeline", "impatience":
+	case "rude", "halves", "crowd", "pipeline", "impatience", "request-copies":
 		r.runClientFault(f, n, rng)
-	case "mute", "silence", "notices":
-		r.runDiscoveryFault(f, n)
+	case "mute", "silence", "notices", "agent-copies":
+		r.runDiscoveryFault(f, n, rng)
 	default:
 		if p := r.environment.pickReady(f.Target); p != nil {
 			r.runEndpointFault(f, p)
@@ -177,10 +184,26 @@
 		r.restartNode(n, n.kill, f.Duration/4)
 	case "stop":
 		r.restartNode(n, n.stop, f.Duration/4)
+	case "stop-kill":
+		r.restartNode(n, n.stop, f.Duration/4)
+		r.restartNode(n, n.kill, f.Duration/4)
+	case "reload-stop":
+		stopAfterReload := func() error {
+			if err := r.startReload(n, rng.IntN(2) == 0); err != nil {
+				return err
+			}
+			return n.stop()
+		}
+		r.restartNode(n, stopAfterReload, f.Duration/4)
+	case "pause-stop":
+		n.pause(rng)
+		r.runningFaults.Go(func() {
+			time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+			n.pause(rng)
+		})
+		r.restartNode(n, n.stop, f.Duration/4)
 	case "pause":
-		n.signal(syscall.SIGSTOP)
-		time.Sleep(time.Duration(20+rng.IntN(130)) * time.Millisecond)
-		n.signal(syscall.SIGCONT)
+		n.pause(rng)
 	case "reload":
 		if err := r.reloadNode(n, rng.IntN(2) == 0); err != nil {
 			r.violation("%s: reload: %v", n.name, err)
@@ -212,6 +235,18 @@
 
 // reloadNode moves a node to another agent by SIGHUP. With broken set, it first reloads a malformed configuration file.
 func (r *run) reloadNode(n *node, broken bool) error {
+	if err := r.startReload(n, broken); err != nil {
+		return err
+	}
+	time.Sleep(previousAgentTime)
+	return nil
+}
+
+// previousAgentTime is how long the previous agent of a node goes on after SIGHUP.
+const previousAgentTime = 1500 * time.Millisecond
+
+// startReload does the work of reloadNode, and closes the previous agent later.
+func (r *run) startReload(n *node, broken bool) error {
 	if broken {
 		if err := os.WriteFile(n.configPath(), []byte("{"), 0o600); err != nil {
 			return err
@@ -228,8 +263,7 @@
 		return err
 	}
 	n.signal(syscall.SIGHUP)
-	time.Sleep(1500 * time.Millisecond)
-	previous.Close()
+	time.AfterFunc(previousAgentTime, previous.Close)
 	return nil
 }
 
@@ -257,6 +291,11 @@
 		time.Sleep(f.Duration)
 	case "pipeline":
 		r.sendPipelined(n, rng)
+	case "request-copies":
+		for range 10 {
+			m := r.newMessage(rng, n)
+			r.runningClients.Go(func() { r.sendTwice(n, m, f.Duration/10) })
+		}
 	case "impatience":
 		for range 20 {
 			if c, err := net.DialTimeout("tcp", n.addr, submitTimeout); err == nil {
@@ -268,7 +307,7 @@
 }
 
 // runDiscoveryFault executes a fault of a node's agent.
-func (r *run) runDiscoveryFault(f Fault, n *node) {
+func (r *run) runDiscoveryFault(f Fault, n *node, rng *rand.Rand) {
 	agent := r.environment.agentOf(n.number)
 	switch f.Kind {
 	case "mute":
@@ -277,6 +316,15 @@
 		r.environment.setMuted(agent, false)
 	case "silence":
 		r.environment.silenceOpenWatches(agent)
+	case "agent-copies":
+		var mu sync.Mutex
+		agent.CopyWrites(func() (time.Duration, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Duration(rng.IntN(300)) * time.Millisecond, rng.IntN(2) == 0
+		})
+		time.Sleep(f.Duration)
+		agent.CopyWrites(nil)
 	case "notices":
 		agent.FailNotices(503)
 		// A longer failure would delay notices beyond their deadlines.
