HTTP/2: a second copy of a response ends the connection

The client remembers the last 64 streams that the peer ended; a header block on one of them is a connection error STREAM_CLOSED, and what is out on the connection may have been executed. TestCopiedResponse fails on the text before ('a copied response gives <nil>') and passes now.

--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"golang.org/x/net/http2/hpack"
@@ -118,6 +119,9 @@
 	Reason string
 }
 
+// completedStreams is the number of ended streams on which a second copy of the response is recognized.
+const completedStreams = 64
+
 // stream is the state of one stream that is not closed. The fields body, trailers and hasTrailers are not used.
 type stream struct {
 	id uint32
@@ -172,6 +176,9 @@
 	// peerLastStream is the last stream in the peer's GOAWAY.
 	peerLastStream uint32
 
+	// completed holds the streams that the peer of a client ended last, and completedCount counts them.
+	completed      [completedStreams]uint32
+	completedCount int
 	// streams holds the streams that are not closed.
 	streams map[uint32]*stream
 	// sendQueue holds the identifiers of the streams whose bodies wait for the peer's windows, in the order queued.
@@ -481,9 +488,18 @@
 // handleEndStream records that the peer sends nothing more on a stream.
 func (c *Conn) handleEndStream(s *stream) {
 	s.endReceived = true
+	if c.client {
+		c.completed[c.completedCount%len(c.completed)] = s.id
+		c.completedCount++
+	}
 	c.removeIfClosed(s)
 }
 
+// isCompleted reports whether the peer ended a stream of this client lately. Another header block on it is a second copy of a
+// response. It may have changed the compression state, after which other responses would be decoded wrongly, so that the
+// connection cannot go on (RFC 9113 section 5.1, closed).
+func (c *Conn) isCompleted(id uint32) bool { return slices.Contains(c.completed[:], id) }
+
 // removeIfClosed removes a stream that both sides have ended.
 func (c *Conn) removeIfClosed(s *stream) {
 	if s.endReceived && s.endSent {
@@ -595,6 +611,9 @@
 		c.headerBlock = nil
 	}
 	end := f.Flags&FlagEndStream != 0
+	if c.client && c.isCompleted(f.Stream) {
+		return &ConnError{StreamClosed, f.Stream, "HEADERS on a stream that the peer has ended"}
+	}
 	s := c.streams[f.Stream]
 	if s == nil {
 		if c.client { // the block crossed our RST_STREAM
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -277,6 +277,34 @@
 	})
 }
 
+// Guards against a second copy of a response, which changes the compression state: the copied block adds fields to the table
+// once more, and the response to another request is then decoded with the wrong fields. The connection ends before that.
+func TestCopiedResponse(t *testing.T) {
+	client, server := NewClient(Config{}, 0), NewServer(Config{}, 0)
+	exchange(t, client, server, 1<<20)
+	var ids []uint32
+	for range 2 {
+		id, err := client.Request(0, postRequest, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ids = append(ids, id)
+	}
+	exchange(t, client, server, 1<<20)
+	// Fields that are not in the static table are added to the dynamic one.
+	if err := server.Respond(0, ids[0], []Field{{Name: ":status", Value: "503"}, {Name: "x", Value: "y"}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	response := server.Output()
+	if events, err := client.Receive(0, response); err != nil || len(events) != 1 || !events[0].End {
+		t.Fatalf("%v, %v", events, err)
+	}
+	var connErr *ConnError
+	if _, err := client.Receive(0, response); !errors.As(err, &connErr) || connErr.Code != StreamClosed {
+		t.Errorf("a copied response gives %v", err)
+	}
+}
+
 func joinData(events []Event) (b []byte) {
 	for _, e := range events {
 		if e.Kind == Data {
