Copies of answers and answers taken back are counted, logged and named

Now each has a line at level warn (part 'answers'): endpoint, its count, connection, status, how long ago one like it came, the messages out; the line of a stop has both sums.

--- a/internal/outbound/attribution.go
+++ b/internal/outbound/attribution.go
@@ -159,6 +159,16 @@
 	return len(h.answers) > 0 && string(b[:size]) == start[:size]
 }
 
+// lastLike returns when an answer like this one last came.
+func (h *answerHistory) lastLike(id answerID) (at time.Duration, ok bool) {
+	for _, a := range h.answers {
+		if a.id == id {
+			at, ok = a.at, true
+		}
+	}
+	return at, ok
+}
+
 // mayBeCopy reports whether an answer like this one came within copyHorizon.
 func (h *answerHistory) mayBeCopy(now time.Duration, id answerID) bool {
 	h.forget(now)
@@ -209,8 +219,8 @@
 // provisionalAnswers are the answers of a connection that count unless a copy shows up behind them. If one of them was a
 // copy, all answers after it belong to the calls before theirs, and there is one answer more than calls.
 type provisionalAnswers struct {
-	// attempts holds the sequence numbers of the attempts that were answered.
-	attempts []uint64
+	// attempts holds the attempts that were answered.
+	attempts []*engine.Attempt
 	// since is when the first of the answers came.
 	since time.Duration
 	// lastAt is when the last answer on the connection came.
@@ -220,7 +230,7 @@
 }
 
 // add adds the answer to an attempt.
-func (p *provisionalAnswers) add(now time.Duration, attempt uint64) {
+func (p *provisionalAnswers) add(now time.Duration, attempt *engine.Attempt) {
 	if len(p.attempts) == 0 {
 		p.since, p.surplus = now, false
 	}
@@ -237,7 +247,7 @@
 }
 
 // take removes and returns the attempts.
-func (p *provisionalAnswers) take() []uint64 {
+func (p *provisionalAnswers) take() []*engine.Attempt {
 	attempts := p.attempts
 	p.attempts = nil
 	return attempts
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -19,7 +19,7 @@
 
 // Opened implements eventloop.Handler. It starts the protocol on a new connection.
 func (p *Pool) Opened(netConn *eventloop.Conn) {
-	c := &conn{pool: p, endpoint: netConn.Context.(*endpointPool), netConn: netConn}
+	c := &conn{pool: p, endpoint: netConn.Context.(*endpointPool), netConn: netConn, number: p.openedConns.Add(1)}
 	netConn.Context = c
 	c.session = p.proto.newSession(c, p.elapsed())
 	p.openConns.Add(1)
--- a/internal/outbound/copies.go
+++ b/internal/outbound/copies.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -23,16 +24,16 @@
 	return p.answerCounts
 }
 
-// recordCopy counts a copy of an answer. From now on copies are expected, from every endpoint: the cause may lie between
-// here and all of them.
-func (p *Pool) recordCopy(s *endpointPool, now time.Duration, text string) {
+// recordCopy counts and reports a copy of an answer. From now on copies are expected, from every endpoint: the cause may lie
+// between here and all of them.
+func (p *Pool) recordCopy(c *conn, now time.Duration, description string) {
 	p.mu.Lock()
 	p.lastCopyAt = now
 	p.answerCounts.Copies++
-	s.counts.Copies++
-	count := s.counts.Copies
+	c.endpoint.counts.Copies++
+	count := c.endpoint.counts.Copies
 	p.mu.Unlock()
-	p.cfg.Trace("endpoint %d: copy %d of an answer: %s", s.id, count, text)
+	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("copy %d of an answer, on connection %d: %s", count, c.number, description))
 }
 
 // recordPart notes bytes that are no answer, as the first part of a copy is.
@@ -59,12 +60,14 @@
 	return s.slowestAnswer
 }
 
-// countTakenBack counts a call that ended without a proof.
-func (p *Pool) countTakenBack(s *endpointPool) {
+// recordTakenBack counts and reports a call whose answer does not count, because it may have been that of another call.
+func (p *Pool) recordTakenBack(c *conn, description string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.answerCounts.TakenBack++
-	s.counts.TakenBack++
+	c.endpoint.counts.TakenBack++
+	count := c.endpoint.counts.TakenBack
+	p.mu.Unlock()
+	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("answer %d taken back, on connection %d: %s", count, c.number, description))
 }
 
 // copiesExpected reports whether any endpoint sent a copy within copyAlertPeriod.
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -42,6 +42,21 @@
 	Named bool
 }
 
+// names returns the messages of the request for a log line, at most maxNamesLogged of them.
+func (r *HTTP1Request) names() string {
+	if len(r.Attempts) == 0 {
+		return "none"
+	}
+	var names []string
+	for _, a := range r.Attempts[:min(maxNamesLogged, len(r.Attempts))] {
+		names = append(names, a.Message.ExternalID)
+	}
+	return strings.Join(names, " ")
+}
+
+// maxNamesLogged is the largest number of messages that a log line names.
+const maxNamesLogged = 10
+
 // messages returns a digest of the messages of the request, whatever their order.
 func (r *HTTP1Request) messages() uint64 {
 	names := make([]string, len(r.Attempts))
@@ -351,36 +366,48 @@
 	head, body := s.head, s.inBuffer
 	names := s.codec.Names(s.request, head, body)
 	id := identifyAnswer(head, body)
+	description := s.describeAnswer(now, id)
 	judged := s.history.attribute(now, id, names, s.request.messages(), s.provisional.pending())
+	s.provisional.lastAt = now
+	s.closing = s.closing || head.Close
 	if judged == belongsToOther {
 		s.history.recordStray(now, id)
-		s.provisional.surplus = true
-	} else {
-		s.history.recordAnswer(now, id, names == NamesCall)
+		s.skipAnswer(now, "an answer to another call: "+description)
+		return rest
 	}
-	s.provisional.lastAt = now
-	s.closing = s.closing || head.Close
+	s.history.recordAnswer(now, id, names == NamesCall)
 	switch {
-	case judged == belongsToOther:
-		s.copySeen(now, "an answer to another call", id)
-		if s.held != nil {
-			s.held.lastAt = now
-			s.scheduleSettling()
-		}
 	case s.held != nil && !s.held.add(now, id, judged):
-		s.provisional.surplus = true
-		s.copySeen(now, "a further answer", id)
+		s.skipAnswer(now, "a further answer: "+description)
+		return rest
+	case s.held != nil:
+		s.conn.pool.recordCopy(s.conn, now, "an answer to another call, of which this is not a copy: "+description)
+	case judged == unproven:
+		return s.handleUnproven(now, id, rest)
+	}
+	s.finishProven(now, s.codec.Answer(s.request, head, body), rest)
+	return nil
+}
+
+// skipAnswer reports an answer that does not end the call, and goes on waiting.
+func (s *h1Session) skipAnswer(now time.Duration, description string) {
+	s.conn.pool.recordCopy(s.conn, now, description)
+	s.provisional.surplus = true
+	if s.held != nil {
+		s.held.lastAt = now
 		s.scheduleSettling()
-	case judged == unproven && s.held == nil:
-		ends := s.codec.Answer(s.request, head, body)
-		if s.finishProvisional(now, ends, rest) {
-			return nil
-		}
-		s.hold(now, id, ends)
-	default:
-		s.finishProven(now, s.codec.Answer(s.request, head, body), rest)
+	}
+	s.resetResponse()
+}
+
+// handleUnproven handles a first answer to the call that may be a copy. It returns the bytes that are to be read as a
+// further answer.
+func (s *h1Session) handleUnproven(now time.Duration, id answerID, rest []byte) []byte {
+	ends := s.codec.Answer(s.request, s.head, s.inBuffer)
+	if s.finishProvisional(now, ends, rest) {
 		return nil
 	}
+	s.hold(now, id, ends)
 	if s.call == nil {
 		return nil
 	}
@@ -389,8 +416,7 @@
 }
 
 // finishProvisional ends the call with an unproven answer that delivers its only message, and reports whether it did. The
-// proof follows: silence on the connection, or an answer that names its messages. That is not
-// enough while copies are expected, and for a message whose successors wait for its delivery.
+// proof follows: silence on the connection, or an answer that names its messages. That is not enough while copies are expected, and for a message whose successors wait for its delivery.
 func (s *h1Session) finishProvisional(now time.Duration, ends []engine.Outcome, rest []byte) bool {
 	attempt := s.request.Attempts[0]
 	_, delivers := s.codec.EndFromStatus(s.request, ends[0].Status)
@@ -398,7 +424,7 @@
 		return false
 	}
 	ends[0].Provisional = true
-	s.provisional.add(now, attempt.Seq)
+	s.provisional.add(now, attempt)
 	s.recordLatency(now)
 	s.scheduleSettling()
 	s.finish(ends)
@@ -424,11 +450,11 @@
 
 // settleProvisional reports the end of all provisional answers.
 func (s *h1Session) settleProvisional(kind engine.OutcomeKind) {
-	for _, seq := range s.provisional.take() {
+	for _, a := range s.provisional.take() {
 		if kind == engine.DeliveryRetracted {
-			s.conn.pool.countTakenBack(s.conn.endpoint)
+			s.conn.pool.recordTakenBack(s.conn, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
 		}
-		s.conn.pool.report(engine.Outcome{Seq: seq, Kind: kind})
+		s.conn.pool.report(engine.Outcome{Seq: a.Seq, Kind: kind})
 	}
 }
 
@@ -444,9 +470,6 @@
 
 // finishProven ends the call with an answer that is proven to be its own. The slice rest holds the bytes behind it.
 func (s *h1Session) finishProven(now time.Duration, ends []engine.Outcome, rest []byte) {
-	if s.held != nil {
-		s.copySeen(now, "the held answer", s.held.id)
-	}
 	s.recordLatency(now)
 	// If an answer names its call, and there were as many answers as calls, each belongs to its own.
 	if s.provisional.pending() && !s.provisional.surplus {
@@ -511,7 +534,7 @@
 			ends[i].RetryAfter = s.held.ends[i].RetryAfter
 		}
 	}
-	s.conn.pool.countTakenBack(s.conn.endpoint)
+	s.conn.pool.recordTakenBack(s.conn, reason+", messages out: "+s.request.names())
 	s.finish(ends)
 }
 
@@ -539,11 +562,11 @@
 			s.closing = true
 			break
 		}
+		s.conn.pool.recordCopy(s.conn, now, "an answer without a call: "+s.describeAnswer(now, id))
 		s.history.recordStray(now, id)
 		s.provisional.surplus, s.provisional.lastAt = true, now
 		s.strayAnswers++
 		s.closing = head.Close || s.strayAnswers > maxStrayAnswers
-		s.copySeen(now, "an answer without a call", id)
 	}
 	// If one of them was a copy, this is the answer to a later call.
 	if s.call == nil && s.provisional.pending() && s.provisional.surplus || s.closing && s.provisional.pending() {
@@ -556,11 +579,11 @@
 	s.conn.provableAt = s.provableAt()
 }
 
-// copySeen reports an answer that belongs to no call of the connection, or to an earlier one.
-func (s *h1Session) copySeen(now time.Duration, what string, id answerID) {
-	message := "none"
-	if s.call != nil {
-		message = s.request.Attempts[0].Message.ExternalID
+// describeAnswer describes an answer for a log line. It must be called before the answer is added to the history.
+func (s *h1Session) describeAnswer(now time.Duration, id answerID) string {
+	original := "none like it came lately"
+	if at, ok := s.history.lastLike(id); ok {
+		original = fmt.Sprintf("one like it came %d ms before", (now - at).Milliseconds())
 	}
-	s.conn.pool.recordCopy(s.conn.endpoint, now, fmt.Sprintf("%s has status %d, message out: %s", what, id.status, message))
+	return fmt.Sprintf("status %d, %s, messages out: %s", id.status, original, s.request.names())
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -114,6 +114,8 @@
 	// Trace receives a text for each lost connection, each failed dial, each idle connection that is closed, and
 	// each log text of the event loops. It may be nil.
 	Trace func(format string, a ...any)
+	// ReportAnswer receives a text for each copy of an answer and for each answer that is taken back. It may be nil.
+	ReportAnswer func(ep control.EndpointID, text string)
 	// H2 configures HTTP/2 connections. ConnectTimeout replaces its Handshake.
 	H2 h2.Config
 	// Admission is asked when a call is about to be written. If it is nil, every attempt may be written.
@@ -152,6 +154,8 @@
 
 	// openConns counts the connections that are open on the event loops.
 	openConns atomic.Int64
+	// openedConns counts the connections that were opened.
+	openedConns atomic.Uint64
 }
 
 // endpointPool is the connection pool of one endpoint. All fields are guarded by Pool.mu.
@@ -227,6 +231,8 @@
 	pool     *Pool
 	endpoint *endpointPool
 	netConn  *eventloop.Conn
+	// number numbers the connections of the pool from 1.
+	number uint64
 	// session is used on the connection's event loop only.
 	session session
 	// closedInOrder is set when the peer has closed the connection without an error. It is used on the event loop only.
@@ -265,6 +271,9 @@
 	if p.cfg.Trace == nil {
 		p.cfg.Trace = func(string, ...any) {}
 	}
+	if p.cfg.ReportAnswer == nil {
+		p.cfg.ReportAnswer = func(control.EndpointID, string) {}
+	}
 	var err error
 	p.loops, err = eventloop.New(eventloop.Config{Loops: cfg.Loops, TickInterval: p.tickInterval(), System: cfg.System, Log: func(text string) { p.cfg.Trace("%s", text) }}, p, clock)
 	if err != nil {
--- a/internal/platform/copies_test.go
+++ b/internal/platform/copies_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -108,6 +109,9 @@
 			if d.countEvents(testbed.AnswerCopied, "") == 0 {
 				t.Error("no answer was copied")
 			}
+			if !strings.Contains(d.logText(), "copy 1 of an answer") {
+				t.Errorf("copies are not reported: %s", d.logText())
+			}
 			// Where one call in four is refused, the decision library sends too little for a comparison, with copies or without.
 			if n := d.deliveredCount(); test.refused > 4 && n < len(names)*8/10 {
 				t.Errorf("%d of %d messages delivered", n, len(names))
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -180,6 +180,11 @@
 	return func(f string, a ...any) { n.log.Debug("trace", f, a...) }
 }
 
+// reportAnswer logs an answer that could not be attributed to a call.
+func (n *Node) reportAnswer(ep control.EndpointID, text string) {
+	n.log.Warn("answers", "%s: %s", n.directory.HostName(ep), text)
+}
+
 // openPool opens the pool of connections to endpoints.
 func (n *Node) openPool(budget descriptorBudget, poolAdmission outbound.Admission) error {
 	set := &n.cfg.Settings
@@ -188,7 +193,7 @@
 		ConnectTimeout: durationOr(set.ConnectTimeout, 1500*time.Millisecond),
 		IdleTimeout:    time.Duration(idleFraction * float64(durationOr(set.ConnIdleTimeout, 5*time.Second))),
 		DialLimits:     dialscheduler.Limits{HandshakesPerSecond: float64(10 * budget.endpoints), MaxHandshakes: budget.connecting, MaxConns: budget.endpoints},
-		Trace:          n.debugLogger(), Admission: poolAdmission, System: n.system,
+		Trace:          n.debugLogger(), Admission: poolAdmission, System: n.system, ReportAnswer: n.reportAnswer,
 	}
 	calls := outbound.NewHTTP1(CallCodec{n.directory, n.cfg.LoadMetrics})
 	report := func(e engine.Outcome) { n.loop.Enqueue(engine.Input{Outcome: &e}) }
@@ -379,9 +384,9 @@
 	}
 	cancel()
 	n.end()
-	st := n.loop.Stats()
-	n.log.Info("node", "stopped: %d taken, %d delivered, %d refused, %d failed, %d stay in the ledger, %d violations prevented", st.Accepted,
-		st.Served, st.Refused, st.Failed, st.Open, st.Violations)
+	st, answers := n.loop.Stats(), n.pool.AnswerCounts()
+	n.log.Info("node", "stopped: %d taken, %d delivered, %d refused, %d failed, %d stay in the ledger, %d violations prevented, %d copies of answers, %d taken back",
+		st.Accepted, st.Served, st.Refused, st.Failed, st.Open, st.Violations, answers.Copies, answers.TakenBack)
 }
 
 // Kill ends the dispatcher at once, as a crash would, except that it closes the sockets.
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -297,7 +297,7 @@
 
 // malformedReply returns an answer that cannot be parsed, or one with extra bytes after it.
 func malformedReply(call testbed.Call, delay time.Duration) testbed.Reply {
-	single := len(call.MessageNames) == 1
+	single := !call.Bulk
 	switch {
 	case call.Number%4 == 0:
 		return testbed.Reply{Status: 500, Raw: "\x16\x03\x01 noise\r\n\r\n", Delay: delay}
