Stand-ins that listen again have addresses of their own

Now package loopback gives each an address in 127.0.0.0/8; the generator of testbed.FreeAddr moved there. Measured: tests of loopback, testbed and scenario pass.

--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -21,6 +21,7 @@
 	"whinrun/internal/endpointlist"
 	"whinrun/internal/load"
 	"whinrun/internal/logs"
+	"whinrun/internal/loopback"
 	"whinrun/internal/partner"
 	"whinrun/internal/service"
 )
@@ -213,7 +214,7 @@
 		p := partner.New(spec.Config, r.log)
 		r.partners[p.Name()] = p
 		for range spec.Endpoints {
-			e, err := p.Listen("127.0.0.1:0")
+			e, err := p.Listen(loopback.Next())
 			if err != nil {
 				return err
 			}
@@ -488,7 +489,7 @@
 
 // addEndpoint adds an endpoint to a partner and to the list.
 func (r *runner) addEndpoint(p *partner.Partner) error {
-	e, err := p.Listen("127.0.0.1:0")
+	e, err := p.Listen(loopback.Next())
 	if err != nil {
 		return err
 	}
--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"whinrun/internal/loopback"
 )
 
 // Proxy is a TCP proxy before an endpoint that disturbs the network on command. When the dispatcher closes a connection,
@@ -62,7 +64,7 @@
 // Proxy starts a proxy before an endpoint.
 func (s *Testbed) Proxy(endpoint *Endpoint) (*Proxy, error) {
 	p := &Proxy{testbed: s, host: endpoint.Host, target: endpoint.Addr, conns: map[*proxiedConn]bool{}, stateChanged: make(chan struct{})}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Next())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -10,27 +10,20 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"whinrun/internal/clock"
 	"whinrun/internal/h1"
+	"whinrun/internal/loopback"
 )
 
-// addressCount counts the addresses that FreeAddr has returned.
-var addressCount atomic.Uint32
-
-// FreeAddr returns an address for one dispatcher to listen on, also after a restart. The address is in 127.0.0.0/8 and
-// derived from the process id and a counter, so that no other socket of the tests uses it. A port of 127.0.0.1 that was
-// free a moment ago may be taken in the meantime.
+// FreeAddr returns an address for one dispatcher to listen on, also after a restart.
 func FreeAddr() (string, error) {
-	pid, n := os.Getpid(), addressCount.Add(1)
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid%128, pid/128%256, 1+n%250))
+	ln, err := net.Listen("tcp", loopback.Next())
 	if err != nil {
 		return "", err
 	}
@@ -202,7 +195,7 @@
 // endpoint can be used again. It fails where it cannot listen on the address.
 func (s *Testbed) Endpoint(host string, dest int, addr string, handler func(Call) Reply) (*Endpoint, error) {
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addr = loopback.Next()
 	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
