Planted faults show what the checker finds beside copies

Need: the checker leaves out one check where the dispatcher has no proof of a delivery; this shows that it finds all others there: repeats of at-most-once messages, repeats past a window, two calls out, no end, and repeats of deliveries that were proven.

--- a/internal/testbed/check_test.go
+++ b/internal/testbed/check_test.go
@@ -46,10 +46,31 @@
 	}
 	answerWithWait := answered(10, "b", 2, 429)
 	answerWithWait.Wait = time.Second
+	// alike is an answer like one before it on connection 7, and copied the copy of an answer on connection 8.
+	alike := func(e Event) Event {
+		e.Alike, e.Conn = true, 7
+		return e
+	}
+	copied := Event{At: at(1), Kind: AnswerCopied, Host: "g", Conn: 8}
+	part := Event{At: at(1), Kind: AnswerCopied, Host: "h", Conn: 7, Cut: true}
+	unreadable := answered(2, "a", 1, 200)
+	unreadable.Conn = 7
+	late := accepted(1, "b", "turns", "k")
+	late.Sent = at(-1)
 	for _, c := range []struct {
 		name, want string
 		events     []Event
 	}{
+		{"repeated behind an answer like another, with copies about", "", []Event{copied, accepted(0, "a", "free", ""), call(1, "a", 1), alike(answered(2, "a", 1, 200)), call(600, "a", 2), answered(601, "a", 2, 200)}},
+		{"repeated behind an answer like another, whose connection ended", "", []Event{accepted(0, "a", "free", ""), call(1, "a", 1), alike(answered(2, "a", 1, 200)), {At: at(5), Kind: ConnEnded, Host: "h", Conn: 7}, call(600, "a", 2), answered(601, "a", 2, 200)}},
+		{"repeated behind an answer like another, without copies", "rule 1", []Event{accepted(0, "a", "free", ""), call(1, "a", 1), alike(answered(2, "a", 1, 200)), call(600, "a", 2), answered(601, "a", 2, 200)}},
+		{"repeated behind an answer unlike others, with copies about", "rule 1", []Event{copied, accepted(0, "a", "free", ""), call(1, "a", 1), answered(2, "a", 1, 200), call(600, "a", 2), answered(601, "a", 2, 200)}},
+		{"repeated behind an answer that can't be read", "", []Event{part, accepted(0, "a", "free", ""), call(1, "a", 1), unreadable, call(600, "a", 2), answered(601, "a", 2, 200)}},
+		{"at most once, repeated with copies about", "rule 2", []Event{copied, accepted(0, "a", "once", ""), call(1, "a", 1), alike(answered(2, "a", 1, 200)), call(600, "a", 2), answered(601, "a", 2, 200)}},
+		{"with a key, after the window, with copies about", "rule 2", []Event{copied, accepted(0, "a", "keyed", ""), call(1, "a", 1), alike(answered(2, "a", 1, 200)), call(1100, "a", 2), answered(1101, "a", 2, 200)}},
+		{"two calls in flight, with copies about", "rule 2", []Event{copied, accepted(0, "a", "free", ""), call(1, "a", 1), call(6, "a", 2), alike(answered(100, "a", 1, 200)), answered(101, "a", 2, 200)}},
+		{"a copy taken for the answer: turned away and no end", "rule 1", []Event{copied, accepted(0, "a", "free", ""), call(1, "a", 1), alike(answered(2, "a", 1, 503))}},
+		{"a key's messages handed in at once, in either order", "", []Event{accepted(0, "a", "turns", "k"), late, call(5, "b", 1), answered(6, "b", 1, 200), call(107, "a", 2), answered(108, "a", 2, 200)}},
 		{"retried after an error", "", []Event{accepted(0, "a", "free", ""), call(1, "a", 1), answered(2, "a", 1, 500), call(3, "a", 2), answered(4, "a", 2, 200)}},
 		{"ended by a notice", "", []Event{accepted(0, "a", "once", ""), {At: at(2000), Kind: NoticeReceived, Name: "a"}}},
 		{"refused and sent again", "", []Event{accepted(0, "a", "once", ""), call(1, "a", 1), answered(2, "a", 1, 503), call(3, "a", 2), answered(4, "a", 2, 200)}},
