A host that moves to another destination leaves the old one

TestHostMovesToAnotherDestination fails on the text before ('[{Endpoint:2 Dest:2 ...}]' alone) and passes now, for whole lists and changes.

--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -61,21 +61,18 @@
 	seen := map[string]bool{}
 	for i := range l.Hosts {
 		h := &l.Hosts[i]
-		e, err := d.applyHost(h, now)
+		changed, err := d.applyHost(h, now)
 		if err != nil {
 			faults = append(faults, fmt.Errorf("host %.40q: %w", h.Name, err))
 			continue
 		}
 		seen[h.Name] = true
-		if e.Endpoint != 0 {
-			entries = append(entries, e)
-		}
+		entries = append(entries, changed...)
 	}
 	if l.Whole {
 		for name, r := range d.hosts {
 			if !seen[name] && r.goneAt == 0 {
-				r.goneAt, r.entry.Health = now, control.Gone
-				entries = append(entries, r.entry)
+				entries = append(entries, r.remove(now))
 			}
 		}
 	}
@@ -87,16 +84,21 @@
 	return entries, faults
 }
 
-// applyHost applies one host of a list and returns its entry. The entry's endpoint number is 0 if an unknown
-// host is reported as gone.
-func (d *Directory) applyHost(h *Host, now time.Duration) (control.Entry, error) {
+// remove marks an endpoint as gone and returns its entry.
+func (r *endpointRecord) remove(now time.Duration) control.Entry {
+	r.goneAt, r.entry.Health = now, control.Gone
+	return r.entry
+}
+
+// applyHost applies one host of a list and returns the entries that follow: none if an unknown host is reported as gone, and
+// two if a host has moved to another destination.
+func (d *Directory) applyHost(h *Host, now time.Duration) (entries []control.Entry, err error) {
 	r := d.hosts[h.Name]
 	if h.Health == "gone" {
 		if r == nil {
-			return control.Entry{}, nil
+			return nil, nil
 		}
-		r.goneAt, r.entry.Health = now, control.Gone
-		return r.entry, nil
+		return []control.Entry{r.remove(now)}, nil
 	}
 	health := control.Ready
 	switch h.Health {
@@ -104,22 +106,25 @@
 	case "draining":
 		health = control.Draining
 	default:
-		return control.Entry{}, fmt.Errorf("unknown health %.20q", h.Health)
+		return nil, fmt.Errorf("unknown health %.20q", h.Health)
 	}
 	addr, err := netip.ParseAddrPort(h.Dial)
 	if err != nil {
-		return control.Entry{}, err
+		return nil, err
 	}
 	kind := slices.IndexFunc(d.kinds, func(k control.DestinationKind) bool { return k.Name == h.Class })
 	if kind < 0 && len(d.kinds) > 0 {
-		return control.Entry{}, fmt.Errorf("unknown class %.20q", h.Class)
+		return nil, fmt.Errorf("unknown class %.20q", h.Class)
 	}
 	if h.Name == "" || h.Block < 0 || h.Block > maxDestination {
-		return control.Entry{}, fmt.Errorf("empty host name or invalid block %d", h.Block)
+		return nil, fmt.Errorf("empty host name or invalid block %d", h.Block)
 	}
 	e := control.Entry{Dest: h.Block, Zone: slices.Index(d.zones, h.Site), DestinationKind: max(kind, 0), Health: health, Weight: h.Share}
-	// A host that changes its destination is a new endpoint.
+	// A host that changes its destination is a new endpoint. Nothing for the old destination may be sent to it any more.
 	if r != nil && r.entry.Dest != e.Dest {
+		if r.goneAt == 0 {
+			entries = append(entries, r.remove(now))
+		}
 		delete(d.hosts, h.Name)
 		r = nil
 	}
@@ -132,7 +137,7 @@
 	e.Endpoint = r.entry.Endpoint
 	r.host, r.entry, r.addr, r.goneAt = *h, e, addr, 0
 	d.destinations[e.Dest] = now
-	return e, nil
+	return append(entries, e), nil
 }
 
 // Snapshot returns all listed endpoints as a whole list of version seq, ordered by name.
