A malformed answer alone is no sign of copies

Now a part of a copy is taken to be there only if another answer begins in the midst of what can't be read, and the alarm has a line of its own in the log. TestWhatTellsOfParts fails on the text before for the first case and passes now.

--- a/internal/outbound/attribution.go
+++ b/internal/outbound/attribution.go
@@ -154,11 +154,13 @@
 	if status, ok := h1.ParseStatus(b); ok {
 		return h.hasStatus(now, status)
 	}
-	const start = "HTTP/1."
-	size := min(len(b), len(start))
-	return len(h.answers) > 0 && string(b[:size]) == start[:size]
+	size := min(len(b), len(answerStart))
+	return len(h.answers) > 0 && string(b[:size]) == answerStart[:size]
 }
 
+// answerStart is how each answer begins.
+const answerStart = "HTTP/1."
+
 // lastLike returns when an answer like this one last came.
 func (h *answerHistory) lastLike(id answerID) (at time.Duration, ok bool) {
 	for _, a := range h.answers {
--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -249,3 +249,21 @@
 	tp.p.recordLatency(endpoint, maxSettleTime)
 	tp.wantEnd(engine.DeliveryConfirmed, 0)
 }
+
+// Guards against an alarm for a malformed answer, which is no sign of copies; an answer in the midst of another one is.
+func TestWhatTellsOfParts(t *testing.T) {
+	for text, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmore":              false,
+		"\x16\x03\x01 noise\r\n\r\n":                                             false,
+		"HTTP/1.1 200 OK\r\nContent-HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n": true,
+		"HTTP/1.1 200 OK\r\nHTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n":         true,
+		"HTTHTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n":                         true,
+	} {
+		tp, c := startSecondCall(t)
+		_, _ = c.Write([]byte(text))
+		tp.wantEnd(engine.ProtocolError, 0)
+		if got := tp.p.copiesExpected(tp.p.elapsed()); got != want {
+			t.Errorf("%q: copies are expected: %v", text, got)
+		}
+	}
+}
--- a/internal/outbound/copies.go
+++ b/internal/outbound/copies.go
@@ -36,11 +36,12 @@
 	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("copy %d of an answer, on connection %d: %s", count, c.number, description))
 }
 
-// recordPart notes bytes that are no answer, as the first part of a copy is.
-func (p *Pool) recordPart(s *endpointPool, now time.Duration) {
+// recordPart reports bytes that are no answer, as the first part of a copy is. Copies are expected from now on.
+func (p *Pool) recordPart(c *conn, now time.Duration) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.lastCopyAt, s.lastPartAt = now, now
+	p.lastCopyAt, c.endpoint.lastPartAt = now, now
+	p.mu.Unlock()
+	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("part of an answer, on connection %d, which ends", c.number))
 }
 
 // latencyDecay is the share by which endpointPool.slowestAnswer falls with each answer.
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"slices"
@@ -249,9 +250,6 @@
 
 func (s *h1Session) connLost(kind engine.OutcomeKind, reason string) {
 	s.closing = true
-	if now := s.conn.pool.elapsed(); kind == engine.ProtocolError && s.status != 0 && s.history.hasStatus(now, s.status) {
-		s.conn.pool.recordPart(s.conn.endpoint, now)
-	}
 	// A peer that closes an idle connection in order has answered all calls.
 	if s.call == nil && s.conn.closedInOrder && !s.provisional.surplus && !s.conn.pool.copiesExpected(s.conn.pool.elapsed()) {
 		s.settleProvisional(engine.DeliveryConfirmed)
@@ -290,6 +288,16 @@
 }
 
 func (s *h1Session) receive(now time.Duration, b []byte) error {
+	err := s.readAnswers(now, b)
+	// The rest of a copy that was cut off never comes, and the next answer follows in its midst.
+	if err != nil && len(s.inBuffer) > 0 && bytes.Contains(s.inBuffer[1:], []byte(answerStart)) {
+		s.conn.pool.recordPart(s.conn, now)
+	}
+	return err
+}
+
+// readAnswers reads the answers to the call that is out, and what comes behind them.
+func (s *h1Session) readAnswers(now time.Duration, b []byte) error {
 	for {
 		if s.call == nil {
 			s.readStray(now, b)
@@ -478,6 +486,9 @@
 	if slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.Kind == engine.ProtocolError }) {
 		s.closing = true
 		s.conn.netConn.CloseBoth()
+		if bytes.Contains(s.inBuffer, []byte(answerStart)) {
+			s.conn.pool.recordPart(s.conn, now)
+		}
 	}
 	s.readStray(now, rest)
 	s.finish(ends)
@@ -544,7 +555,7 @@
 		if !complete || !s.used {
 			s.closing = true
 			if s.history.mayBePart(now, b) {
-				s.conn.pool.recordPart(s.conn.endpoint, now)
+				s.conn.pool.recordPart(s.conn, now)
 			}
 			break
 		}
--- a/internal/platform/directory_test.go
+++ b/internal/platform/directory_test.go
@@ -22,7 +22,7 @@
 		old := before[0].Endpoint
 		after, _ := d.Apply(EndpointList{Seq: 1, Whole: whole, Hosts: host(2)}, 2*time.Second)
 		if len(after) != 2 || after[0].Endpoint != old || after[0].Health != control.Gone || after[0].Dest != 1 || after[1].Dest != 2 || after[1].Health != control.Ready {
-			t.Errorf("whole %v: %+v", whole, after)
+			t.Fatalf("whole %v: %+v", whole, after)
 		}
 		if d.IsListed(old) {
 			t.Errorf("whole %v: the old endpoint is listed", whole)
