--- /dev/null
+++ b/internal/outbound/http1answers.go
@@ -0,0 +1,239 @@
+package outbound
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"time"
+
+	"whinrun/control"
+	"whinrun/internal/engine"
+	"whinrun/internal/h1"
+)
+
+// This file carries out what attribution.go decides: it ends the call of an HTTP/1.1 connection by an answer, holds the
+// answer, counts it provisionally, or skips it.
+
+// handleAnswer handles a complete answer while a call is out. The slice rest holds the bytes behind the answer. It returns
+// those that are to be read as a further answer.
+func (s *h1Session) handleAnswer(now time.Duration, rest []byte) []byte {
+	head, body := s.head, s.inBuffer
+	names := s.codec.Names(s.request, head, body)
+	id := identifyAnswer(head, body)
+	description := s.describeAnswer(now, id)
+	judged := s.history.attribute(now, id, names, s.request.messages(), s.provisional.pending())
+	s.closing = s.closing || head.Close
+	if judged == belongsToOther {
+		s.history.recordStray(now, id)
+		s.skipAnswer(now, "an answer to another call: "+description)
+		return rest
+	}
+	s.history.recordAnswer(now, id, names == NamesCall)
+	switch {
+	case s.held != nil && !s.held.add(id, judged):
+		s.skipAnswer(now, "a further answer: "+description)
+		return rest
+	case s.held != nil:
+		s.conn.pool.recordCopy(s.conn, now, "an answer to another call, of which this is not a copy: "+description)
+	case judged == unproven:
+		return s.handleUnproven(now, id, rest)
+	}
+	s.finishProven(now, s.codec.Answer(s.request, head, body), rest)
+	return nil
+}
+
+// skipAnswer reports an answer that does not end the call, and goes on waiting.
+func (s *h1Session) skipAnswer(now time.Duration, description string) {
+	s.conn.pool.recordCopy(s.conn, now, description)
+	s.provisional.surplus = true
+	if s.held != nil {
+		s.scheduleSettling(now)
+	}
+	s.resetResponse()
+}
+
+// handleUnproven handles a first answer to the call that may be a copy. It returns the bytes that are to be read as a
+// further answer.
+func (s *h1Session) handleUnproven(now time.Duration, id answerID, rest []byte) []byte {
+	ends := s.codec.Answer(s.request, s.head, s.inBuffer)
+	if s.finishProvisional(now, ends, rest) {
+		return nil
+	}
+	s.hold(now, id, ends)
+	if s.call == nil {
+		return nil
+	}
+	s.resetResponse()
+	return rest
+}
+
+// finishProvisional ends the call with an unproven answer that delivers its only message, and reports whether it did. The
+// proof follows: silence on the connection, or an answer that names its messages. That is not enough while copies are expected, and for a message whose successors wait for its delivery.
+func (s *h1Session) finishProvisional(now time.Duration, ends []engine.Outcome, rest []byte) bool {
+	attempt := s.request.Attempts[0]
+	_, delivers := s.codec.EndFromStatus(s.request, ends[0].Status)
+	if !delivers || ends[0].Kind != engine.Answered || attempt.Message.OrderKey != 0 || len(rest) > 0 || s.closing || s.conn.pool.copiesExpected(now) {
+		return false
+	}
+	ends[0].Provisional = true
+	s.provisional.add(now, attempt)
+	s.recordLatency(now)
+	s.scheduleSettling(now)
+	s.finish(ends)
+	return true
+}
+
+// settleProvisionalAfterSilence settles the provisional answers of an idle connection. If copies are
+// expected, the silence proves nothing, and the connection may be out of step.
+func (s *h1Session) settleProvisionalAfterSilence(now time.Duration) {
+	if s.provisional.surplus || s.conn.pool.copiesExpected(now) {
+		s.retractProvisional()
+		return
+	}
+	s.settleProvisional(engine.DeliveryConfirmed)
+	p := s.conn.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.conn.settling = false
+	p.assignPending(s.conn.endpoint)
+}
+
+// retractProvisional shuts the connection down and takes all provisional answers back, in this order, so that a repeat does
+// not meet a call that is still out.
+func (s *h1Session) retractProvisional() {
+	s.closing = true
+	s.conn.netConn.CloseBoth()
+	s.settleProvisional(engine.DeliveryRetracted)
+}
+
+// settleProvisional reports the end of all provisional answers.
+func (s *h1Session) settleProvisional(kind engine.OutcomeKind) {
+	for _, a := range s.provisional.take() {
+		if kind == engine.DeliveryRetracted {
+			s.conn.pool.recordTakenBack(s.conn, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
+		}
+		s.conn.pool.report(engine.Outcome{Seq: a.Seq, Kind: kind})
+	}
+}
+
+// recordLatency notes how long the call took.
+func (s *h1Session) recordLatency(now time.Duration) {
+	s.conn.pool.recordLatency(s.conn.endpoint, now-s.writtenAt)
+}
+
+// finishProven ends the call with an answer that is proven to be its own. The slice rest holds the bytes behind it.
+func (s *h1Session) finishProven(now time.Duration, ends []engine.Outcome, rest []byte) {
+	s.recordLatency(now)
+	// If an answer names its call, and there were as many answers as calls, each belongs to its own.
+	if s.provisional.pending() && s.provisional.surplus {
+		s.retractProvisional()
+	}
+	s.settleProvisional(engine.DeliveryConfirmed)
+	// The call may still be out if its answer is malformed.
+	if slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.Kind == engine.ProtocolError }) {
+		s.closing = true
+		s.conn.netConn.CloseBoth()
+		if bytes.Contains(s.inBuffer, []byte(answerStart)) {
+			s.conn.pool.recordPart(s.conn, now)
+		}
+	}
+	s.readStray(now, rest)
+	s.finish(ends)
+}
+
+// hold keeps an unproven answer until a later one or silence decides. An answer with a wait is not kept, because the wait
+// counts from now on: its call ends without a proof, and its connection with it.
+func (s *h1Session) hold(now time.Duration, id answerID, ends []engine.Outcome) {
+	s.held = &heldAnswer{id: id, ends: ends, arrivedAt: now}
+	s.conn.pool.cfg.Trace("endpoint %d: answer %d to attempt %d of message %s may be a copy: held", s.conn.endpoint.id, id.status, s.request.Attempts[0].Number,
+		s.request.Attempts[0].Message.ExternalID)
+	if s.closing || slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.RetryAfter > 0 }) {
+		s.finishUnproven("an answer that may be that of another call")
+		return
+	}
+	s.scheduleSettling(now)
+}
+
+// scheduleSettling sets settleAt, and has checkDeadlines called then.
+func (s *h1Session) scheduleSettling(now time.Duration) {
+	settleTime := settleTime(s.conn.pool.slowestAnswer(s.conn.endpoint))
+	s.settleAt = now + settleTime
+	time.AfterFunc(settleTime, s.conn.netConn.Wake)
+}
+
+// settle ends a call whose unproven answer has been followed by silence. If copies are expected, the silence
+// proves nothing: the endpoint may have stopped answering.
+func (s *h1Session) settle(now time.Duration) {
+	if s.held.conflict || s.provisional.pending() && s.provisional.surplus || s.status != 0 || len(s.inBuffer) > 0 || s.conn.pool.copiesExpected(now) {
+		s.finishUnproven("no answer that is surely its own")
+		return
+	}
+	ends := s.held.ends
+	for i := range ends {
+		ends[i].At = control.Time(s.held.arrivedAt / time.Microsecond)
+	}
+	s.settleProvisional(engine.DeliveryConfirmed)
+	s.finish(ends)
+}
+
+// finishUnproven ends the call as possibly executed, and its connection with it.
+func (s *h1Session) finishUnproven(reason string) {
+	s.retractProvisional()
+	ends := make([]engine.Outcome, len(s.attempts))
+	for i := range ends {
+		ends[i] = engine.Outcome{Kind: engine.UnprovenAnswer, Detail: reason}
+		if s.held != nil {
+			ends[i].RetryAfter = s.held.ends[i].RetryAfter
+		}
+	}
+	s.conn.pool.recordTakenBack(s.conn, reason+", messages out: "+s.request.names())
+	s.finish(ends)
+}
+
+// readStray reads bytes that belong to no call. Complete answers are copies and are skipped. All else makes the connection
+// unusable.
+func (s *h1Session) readStray(now time.Duration, b []byte) {
+	for len(b) > 0 && !s.closing {
+		head, n, err := h1.ParseResponse(b)
+		complete := err == nil && n > 0 && !head.Chunked && head.Length >= 0 && int64(len(b)-n) >= head.Length
+		if !complete || !s.used {
+			s.closing = true
+			if s.history.mayBePart(now, b) {
+				s.conn.pool.recordPart(s.conn, now)
+			}
+			break
+		}
+		body := b[n : n+int(head.Length)]
+		b = b[n+int(head.Length):]
+		if head.Status < 200 {
+			continue
+		}
+		id := identifyAnswer(head, body)
+		// An endpoint that sends other answers unasked is broken in another way.
+		if !s.history.mayBeCopy(now, id) && !s.provisional.pending() {
+			s.closing = true
+			break
+		}
+		s.conn.pool.recordCopy(s.conn, now, "an answer without a call: "+s.describeAnswer(now, id))
+		s.history.recordStray(now, id)
+		s.provisional.surplus = true
+		s.strayAnswers++
+		s.closing = head.Close || s.strayAnswers > maxStrayAnswers
+	}
+	// If one of the provisional answers was a copy, this is the answer to a later call.
+	if s.provisional.pending() && (s.provisional.surplus || s.closing) {
+		s.retractProvisional()
+	}
+	s.conn.pool.mu.Lock()
+	defer s.conn.pool.mu.Unlock()
+	s.conn.provableAt = s.provableAt()
+}
+
+// describeAnswer describes an answer for a log line. It must be called before the answer is added to the history.
+func (s *h1Session) describeAnswer(now time.Duration, id answerID) string {
+	original := "none like it came lately"
+	if at, ok := s.history.lastLike(id); ok {
+		original = fmt.Sprintf("one like it came %d ms before", (now - at).Milliseconds())
+	}
+	return fmt.Sprintf("status %d, %s, messages out: %s", id.status, original, s.request.names())
+}
--- a/internal/testbed/check.go
+++ b/internal/testbed/check.go
@@ -26,6 +26,8 @@
 	CallBroken
 	// NoticeReceived records a notice about the outcome of a message [Name Text Wait].
 	NoticeReceived
+	// NoticeRefused records a notice that the agent answered with an error because of a fault [Name Text Wait].
+	NoticeRefused
 	// HealthListed records that discovery published the health of an endpoint [Host Health Node].
 	HealthListed
 	// OutageBegan records that calls to an endpoint fail from now on [Host].
@@ -226,7 +228,7 @@
 	hosts map[string]*hostState
 	// callEnds holds when each call ended.
 	callEnds map[messageCall]time.Time
-	// messageEnds holds when each message was delivered or a notice about it arrived, whichever came first.
+	// messageEnds holds when each message was delivered or a notice about it came, whether the agent took it or not.
 	messageEnds map[string]time.Time
 	// copiedAt holds when endpoints sent copies of answers.
 	copiedAt []time.Time
@@ -310,7 +312,8 @@
 		if e.Kind == CallAnswered && e.Status == 200 {
 			c.noteMessageEnd(e)
 		}
-	case NoticeReceived:
+	// The message has ended when its dispatcher says so, also if the agent does not take the notice then.
+	case NoticeReceived, NoticeRefused:
 		c.noteMessageEnd(e)
 	case NetworkDisturbed:
 		h := c.host(e.Host)
@@ -587,7 +590,7 @@
 }
 
 // kindNames holds the name of each kind in a printed event.
-var kindNames = [...]string{Accepted: "taken", Refused: "refused", CallReceived: "called", CallAnswered: "answered", CallBroken: "broke", NoticeReceived: "noticed",
+var kindNames = [...]string{Accepted: "taken", Refused: "refused", CallReceived: "called", CallAnswered: "answered", CallBroken: "broke", NoticeReceived: "noticed", NoticeRefused: "notice refused",
 	HealthListed: "listed", OutageBegan: "outage began", OutageEnded: "outage ended", Restarted: "restarted", RestartBegan: "told to end", RestartEnded: "ready", WatchOpened: "watched", ListSent: "told",
 	NetworkDisturbed: "unheard", ClosedUnanswered: "closed", AnswerCopied: "copied", ConnEnded: "connection ended"}
 
--- a/internal/testbed/check_test.go
+++ b/internal/testbed/check_test.go
@@ -105,6 +105,8 @@
 		{"called after a drain", "rule 3", []Event{accepted(0, "a", "free", ""), {At: at(1), Kind: HealthListed, Host: "h", Health: "draining"}, call(1200, "a", 1), answered(1201, "a", 1, 200)}},
 		{"called within the grace after a drain", "", []Event{accepted(0, "a", "free", ""), {At: at(1), Kind: HealthListed, Host: "h", Health: "gone"}, call(800, "a", 1), answered(801, "a", 1, 200)}},
 		{"cold endpoint overloaded", "rule 4", []Event{{At: at(0), Kind: OutageEnded, Host: "h"}, call(1, "a", 1), call(2, "b", 2), call(3, "c", 3)}},
+		{"in order, behind a notice that the agent refused", "", []Event{accepted(0, "a", "turns", "k"), accepted(1, "b", "turns", "k"), {At: at(4), Kind: NoticeRefused, Name: "a"}, call(5, "b", 1), answered(6, "b", 1, 200), {At: at(900), Kind: NoticeReceived, Name: "a"}}},
+		{"a notice that the agent refused is no end", "rule 1", []Event{accepted(0, "a", "free", ""), {At: at(4), Kind: NoticeRefused, Name: "a"}}},
 		{"out of order within a key", "rule 5", []Event{accepted(0, "a", "turns", "k"), accepted(1, "b", "turns", "k"), call(5, "b", 1), answered(6, "b", 1, 200), call(107, "a", 2), answered(108, "a", 2, 200)}},
 		{"called within a wait", "rule 6", []Event{accepted(0, "a", "free", ""), call(1, "b", 2), answerWithWait, call(500, "a", 1), answered(501, "a", 1, 200)}},
 		{"called after a 429 to the client", "rule 1", []Event{{At: at(0), Kind: Refused, Name: "a", Status: 429}, call(5, "a", 1), answered(6, "a", 1, 200)}},
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -671,9 +672,9 @@
 	a.mu.Lock()
 	noticeStatus := a.noticeStatus
 	a.mu.Unlock()
-	if status := noticeStatus(); status != 0 {
-		w.WriteHeader(status)
-		return
+	status, kind := noticeStatus(), NoticeReceived
+	if status != 0 {
+		kind = NoticeRefused
 	}
 	dec := json.NewDecoder(r.Body)
 	for {
@@ -685,9 +686,9 @@
 		if err := dec.Decode(&notice); err != nil {
 			break
 		}
-		a.testbed.Record(Event{Kind: NoticeReceived, Name: notice.ID, Text: notice.Status, Wait: time.Duration(notice.Again) * time.Millisecond})
+		a.testbed.Record(Event{Kind: kind, Name: notice.ID, Text: notice.Status, Wait: time.Duration(notice.Again) * time.Millisecond})
 	}
-	w.WriteHeader(204)
+	w.WriteHeader(cmp.Or(status, 204))
 }
 
 // Message is a message that a client submits.
