The connection of the next notices is open ahead of them

Cause: since each request with notices has a connection of its own, none was open while descriptors were short; the kept one had been. Now the next one is opened as soon as the last request is over, and has carried none before its own. TestNoticesWithoutANewConnection hangs on the text before and passes now.

--- a/internal/platform/agentcopies_test.go
+++ b/internal/platform/agentcopies_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
+	"whinrun/internal/ledger"
 	"whinrun/internal/testbed"
 )
 
@@ -50,3 +53,31 @@
 		t.Errorf("%d of %d messages got no notice", without, len(names))
 	}
 }
+
+// Guards against notices that wait because no connection can be opened, as while descriptors are short: the one for the next
+// request is open before there are notices.
+func TestNoticesWithoutANewConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAgent(netip.MustParseAddrPort(ln.Addr().String()))
+	acknowledged := make(chan []string, 1)
+	n := newNoticeSender(a, func(names []string) { acknowledged <- names }, func(string, ...any) {})
+	go n.run()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	n.enqueue(ledger.Notice{Name: "m"})
+	if _, err := c.Read(make([]byte, 4096)); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+	if names := <-acknowledged; len(names) != 1 || names[0] != "m" {
+		t.Errorf("acknowledged: %v", names)
+	}
+	a.stop()
+	<-n.done
+}
--- a/internal/platform/notices.go
+++ b/internal/platform/notices.go
@@ -61,11 +61,13 @@
 	defer close(n.done)
 	backoff := noticeBackoffMin
 	for {
+		// The connection of the next request is opened ahead of it, so that notices leave while descriptors are short.
+		spare, _ := n.agent.dial()
 		batch := n.nextBatch()
 		if len(batch) == 0 {
 			return
 		}
-		status, err := n.post(batch)
+		status, err := n.post(spare, batch)
 		if err == nil && (status == 204 || status == 200 || status == 400) {
 			if status == 400 {
 				n.log("%d notices were not understood", len(batch))
@@ -104,8 +106,16 @@
 }
 
 // post sends one request on a connection of its own and returns the status of its response. The response names no notice.
-// On a connection with earlier requests it could be a second copy of an earlier response.
-func (n *noticeSender) post(batch []ledger.Notice) (int, error) {
+// On a connection with earlier requests it could be a second copy of an earlier response. The connection spare is used if it
+// is not nil; the agent may have closed it meanwhile.
+func (n *noticeSender) post(spare net.Conn, batch []ledger.Notice) (int, error) {
+	if spare != nil {
+		status, err := postNotices(spare, batch)
+		n.agent.closeConn(spare)
+		if err == nil || n.agent.stopped() {
+			return status, err
+		}
+	}
 	c, err := n.agent.dial()
 	if err != nil {
 		return 0, err
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -156,6 +156,8 @@
 // sendMalformed sends an unusable request, and records a violation where the client gets neither an error nor a close.
 func (r *run) sendMalformed(n *node, text string) {
 	epoch, stateBefore := n.epoch.Load(), nodeState(n.state.Load())
+	// A node without descriptors accepts the connection later.
+	exhaustions, exhausted := n.startedExhaustions.Load(), n.exhaustions.Load() > 0
 	c, err := net.DialTimeout("tcp", n.addr, submitTimeout)
 	if err != nil {
 		return
@@ -164,7 +166,7 @@
 	_ = c.SetDeadline(clock.After(errorAnswerTimeout + 500*time.Millisecond))
 	_, _ = io.WriteString(c, text)
 	status, err := testbed.ReadStatus(c)
-	if (isTimeout(err) || status > 0 && status < 400) && stateBefore == up && n.epoch.Load() == epoch {
+	if (isTimeout(err) || status > 0 && status < 400) && stateBefore == up && n.epoch.Load() == epoch && !exhausted && n.startedExhaustions.Load() == exhaustions {
 		r.violation("%s: a client that sent %.20q has neither an error nor a close: status %d, %v", n.name, text, status, err)
 	}
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -50,6 +50,8 @@
 	// exhaustions counts the running faults that use up connections or descriptors. While it is not 0, the node may
 	// close connections without reading them.
 	exhaustions atomic.Int64
+	// startedExhaustions counts all of these faults.
+	startedExhaustions atomic.Int64
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -142,6 +144,13 @@
 	return status == 200
 }
 
+// beginExhaustion counts a fault that uses up connections or descriptors until the returned function is called.
+func (n *node) beginExhaustion() (end func()) {
+	n.exhaustions.Add(1)
+	n.startedExhaustions.Add(1)
+	return func() { n.exhaustions.Add(-1) }
+}
+
 // signal sends a signal to the process.
 func (n *node) signal(sig syscall.Signal) {
 	n.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -209,8 +209,7 @@
 			r.violation("%s: reload: %v", n.name, err)
 		}
 	case "files":
-		n.exhaustions.Add(1)
-		defer n.exhaustions.Add(-1)
+		defer n.beginExhaustion()()
 		restore, err := n.exhaustDescriptors()
 		if err != nil {
 			return
@@ -281,8 +280,7 @@
 			r.runningClients.Go(func() { r.sendMalformed(n, text[:cut]) })
 		}
 	case "crowd":
-		n.exhaustions.Add(1)
-		defer n.exhaustions.Add(-1)
+		defer n.beginExhaustion()()
 		for range 200 {
 			if c, err := net.DialTimeout("tcp", n.addr, submitTimeout); err == nil {
 				defer func() { _ = c.Close() }()
--- a/internal/testbed/check.go
+++ b/internal/testbed/check.go
@@ -142,6 +142,8 @@
 type messageState struct {
 	// accepted is the event of its acceptance. It is nil for a message that was not accepted.
 	accepted *Event
+	// refusedBy is the dispatcher that did not answer the client with an acceptance.
+	refusedBy string
 	// rejected is set when the client received 429 or 503, after which it may safely submit the message again.
 	rejected bool
 	// deliveredAt is when a call first got the answer 200.
@@ -162,10 +164,10 @@
 	orphanedCall int
 }
 
-// node returns the dispatcher that accepted the message.
+// node returns the dispatcher that the message was submitted to. It may have accepted it without its client hearing of it.
 func (m *messageState) node() string {
 	if m.accepted == nil {
-		return ""
+		return m.refusedBy
 	}
 	return m.accepted.Node
 }
@@ -332,6 +334,7 @@
 			all[len(all)-1].ready = e.At
 		}
 	case Refused:
+		c.message(e.Name).refusedBy = e.Node
 		if e.Status == 429 || e.Status == 503 {
 			c.message(e.Name).rejected = true
 		}
