Held answers settle sooner than provisional ones; a name settles what is provisional before it

A held call keeps its slot, so it needs only the time in which the call's own answer can still come, counted from the copy. Now held answers settle after one and a quarter of the endpoint's slowest answer, 0.1 to 1 s; provisional ones, which cost nothing, as before. A call behind a provisional delivery asks for its name where it can, which settles both.

--- a/internal/outbound/attribution.go
+++ b/internal/outbound/attribution.go
@@ -198,20 +198,24 @@
 	return belongsToCall
 }
 
-// Times after an unproven answer.
-const (
-	// minSettleTime is the shortest time without any further answer after which an unproven answer counts.
-	minSettleTime = 250 * time.Millisecond
-	// maxSettleTime is the longest such time.
-	maxSettleTime = 2 * time.Second
-	// settleFactor is the time as a multiple of the slowest answer of the endpoint. If the answer was a copy, the one to
-	// the call is still to come, and takes about as long as others did.
-	settleFactor = 3
+// settleTime is how long the connection must be silent until an unproven answer counts, as a multiple of the slowest answer
+// of the endpoint, between two bounds. If the answer was a copy, the one to the call is still to come, and takes about as
+// long as others did.
+type settleTime struct {
+	factor   float64
+	min, max time.Duration
+}
+
+var (
+	// holdTime applies to held answers. It is short, because the call keeps its slot meanwhile.
+	holdTime = settleTime{1.25, 100 * time.Millisecond, time.Second}
+	// provisionalTime applies to provisional answers.
+	provisionalTime = settleTime{3, 250 * time.Millisecond, 2 * time.Second}
 )
 
-// settleTime returns how long the connection must be silent after an unproven answer.
-func settleTime(slowestAnswer time.Duration) time.Duration {
-	return min(maxSettleTime, max(minSettleTime, settleFactor*slowestAnswer))
+// after returns the time for an endpoint whose slowest answer took that long.
+func (t settleTime) after(slowestAnswer time.Duration) time.Duration {
+	return min(t.max, max(t.min, time.Duration(t.factor*float64(slowestAnswer))))
 }
 
 // maxProvisionalTime is how long calls go on following provisional answers on a connection. Then it rests until they are
--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -246,7 +246,7 @@
 	tp.p.mu.Lock()
 	endpoint := tp.p.endpoints[1]
 	tp.p.mu.Unlock()
-	tp.p.recordLatency(endpoint, maxSettleTime)
+	tp.p.recordLatency(endpoint, provisionalTime.max)
 	tp.wantEnd(engine.DeliveryConfirmed, 0)
 }
 
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -172,9 +172,10 @@
 }
 
 // needsName reports whether a call with a single attempt is to have the named form. Without a name its delivery may be
-// provisional, which is not enough while copies are expected, and for a message whose successors wait for its delivery.
+// provisional, which is not enough while copies are expected, and for a message whose successors wait for its delivery. With
+// one it settles the provisional deliveries before it.
 func (s *h1Session) needsName(now time.Duration, a *engine.Attempt) bool {
-	return s.conn.pool.copiesExpected(now) || a.Message.OrderKey != 0 && !s.history.quiet(now)
+	return s.provisional.pending() || s.conn.pool.copiesExpected(now) || a.Message.OrderKey != 0 && !s.history.quiet(now)
 }
 
 // resetResponse prepares for reading the next response.
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -156,9 +156,13 @@
 
 // scheduleSettling sets settleAt, and has checkDeadlines called then.
 func (s *h1Session) scheduleSettling(now time.Duration) {
-	settleTime := settleTime(s.conn.pool.slowestAnswer(s.conn.endpoint))
-	s.settleAt = now + settleTime
-	time.AfterFunc(settleTime, s.conn.netConn.Wake)
+	settleTime := provisionalTime
+	if s.held != nil {
+		settleTime = holdTime
+	}
+	silence := settleTime.after(s.conn.pool.slowestAnswer(s.conn.endpoint))
+	s.settleAt = now + silence
+	time.AfterFunc(silence, s.conn.netConn.Wake)
 }
 
 // settle ends a call whose unproven answer has been followed by silence. If copies are expected, the silence
