Calls go to connections on which a refusal would be proven; held answers wait 0.25 s at least

Need: a held refusal costs delay, and most were held because the connection had refused a call within 1.5 s, or had a provisional delivery pending. The pool now takes the first free connection without either, else the first free one as before; no connection is opened for it. The least time that an answer is held is 0.25 s again: with 0.1 s and one or two answers seen, the first copy of a refusal could count before the call's own answer came.

TestCallsAvoidDoubtfulConnections fails without the preference.

--- a/internal/outbound/attribution.go
+++ b/internal/outbound/attribution.go
@@ -143,6 +143,16 @@
 	return at
 }
 
+// refusedUntil returns until when a further answer with an error status may look like a copy.
+func (h *answerHistory) refusedUntil() (at time.Duration) {
+	for _, a := range h.answers {
+		if a.id.status >= 400 {
+			at = max(at, a.at+copyHorizon)
+		}
+	}
+	return at
+}
+
 // hasStatus reports whether an answer with a status came within copyHorizon.
 func (h *answerHistory) hasStatus(now time.Duration, status int) bool {
 	h.forget(now)
@@ -208,7 +218,7 @@
 
 var (
 	// holdTime applies to held answers. It is short, because the call keeps its slot meanwhile.
-	holdTime = settleTime{1.25, 100 * time.Millisecond, time.Second}
+	holdTime = settleTime{1.25, 250 * time.Millisecond, time.Second}
 	// provisionalTime applies to provisional answers.
 	provisionalTime = settleTime{3, 250 * time.Millisecond, 2 * time.Second}
 )
--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -267,3 +267,27 @@
 		}
 	}
 }
+
+// A call goes to a connection on which a refusal would be proven, if there is one: not to one that has refused a call lately.
+func TestCallsAvoidDoubtfulConnections(t *testing.T) {
+	tp := newTestPool(t)
+	tp.start("a")
+	c := tp.conn()
+	tp.read(c)
+	tp.start("b")
+	d := tp.conn()
+	tp.read(d)
+	_, _ = c.Write([]byte(busyAnswer))
+	tp.wantEnd(engine.Answered, 503)
+	_, _ = d.Write([]byte(okAnswer))
+	tp.wantEnd(engine.Answered, 200)
+	tp.start("c")
+	if got := tp.read(d); !strings.Contains(got, "/c") {
+		t.Errorf("%q on the connection that has not refused a call", got)
+	}
+	// With no other connection, the doubtful one is used.
+	tp.start("d")
+	if got := tp.read(c); !strings.Contains(got, "/d") {
+		t.Errorf("%q on the doubtful connection", got)
+	}
+}
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -232,6 +232,7 @@
 	s.conn.pool.mu.Lock()
 	s.conn.usable = s.conn.usable && !s.closing
 	s.conn.provableAt = s.provableAt()
+	s.conn.doubtfulUntil = control.Time(s.doubtfulUntil() / time.Microsecond)
 	s.conn.settling = s.provisional.overdue(now)
 	s.conn.pool.mu.Unlock()
 	attempts := s.attempts
@@ -249,6 +250,16 @@
 	return control.Time(s.history.provableAt(named) / time.Microsecond)
 }
 
+// doubtfulUntil returns until when a refusal on the connection would not be proven: it would look like an earlier one, or might
+// belong to a call whose delivery is provisional.
+func (s *h1Session) doubtfulUntil() time.Duration {
+	until := s.history.refusedUntil()
+	if s.provisional.pending() {
+		until = max(until, s.settleAt)
+	}
+	return until
+}
+
 func (s *h1Session) connLost(kind engine.OutcomeKind, reason string) {
 	s.closing = true
 	// A peer that closes an idle connection in order has answered all calls.
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -257,6 +257,8 @@
 	established bool
 	// provableAt is the time from which the answer to the next call is sure to be proven.
 	provableAt control.Time
+	// doubtfulUntil is the time until which a refusal on the connection would not be proven.
+	doubtfulUntil control.Time
 	// settling is true while the connection rests until earlier answers on it are proven.
 	settling bool
 }
@@ -342,25 +344,34 @@
 	p.mu.Unlock()
 }
 
-// assign puts a call on the first connection that has capacity, and reports whether there is one. Calls that start together
-// then share a connection where they can and leave in one write. A connection that has been idle for longer than IdleTimeout
-// is skipped, because its peer may be closing it. While copies of answers are expected, a connection is skipped until its
-// next answer is sure to be proven. Pool.mu must be held.
+// assign puts a call on a connection that has capacity, and reports whether there is one: the first one on which a
+// refusal would be proven, or else the first one. Calls that start together then share a connection where they can and leave in one
+// write. A connection that has been idle for longer than IdleTimeout is skipped, because its peer may be closing it. While
+// copies of answers are expected, a connection is skipped until its next answer is sure to be proven. Pool.mu must be held.
 func (p *Pool) assign(k *call) bool {
 	now := p.clock.Now()
 	idleBefore := now - control.Time(p.cfg.IdleTimeout/time.Microsecond)
 	copiesExpected := p.expectsCopies(clock.Elapsed(p.clock))
+	var chosen *conn
 	for _, c := range k.endpoint.conns {
 		if !c.usable || c.settling || c.inFlight >= c.capacity || c.inFlight == 0 && c.idleSince < idleBefore || copiesExpected && c.provableAt > now {
 			continue
 		}
-		k.conn = c
-		c.inFlight++
-		c.unmarkIdle()
-		c.enqueue(command{start: k})
-		return true
+		if chosen == nil || c.doubtfulUntil <= now {
+			chosen = c
+		}
+		if c.doubtfulUntil <= now {
+			break
+		}
+	}
+	if chosen == nil {
+		return false
 	}
-	return false
+	k.conn = chosen
+	chosen.inFlight++
+	chosen.unmarkIdle()
+	chosen.enqueue(command{start: k})
+	return true
 }
 
 // enqueue adds a command for the connection's event loop. Pool.mu must be held.
