A status line proves nothing behind a provisional delivery

On the loss of a connection the provisional deliveries were taken back before that question was asked. TestStatusLineBehindAProvisionalDelivery fails on the text before (delivered, status 200) and passes now.

--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -291,3 +291,24 @@
 		t.Errorf("%q on the doubtful connection", got)
 	}
 }
+
+// Guards against a status line that counts as proof behind a provisional delivery: it may be the first line of the answer to
+// the call before. The answers before that are no longer remembered here, so that nothing else forbids it.
+func TestStatusLineBehindAProvisionalDelivery(t *testing.T) {
+	t.Parallel()
+	tp, c := startSecondCall(t)
+	tp.p.mu.Lock()
+	endpoint := tp.p.endpoints[1]
+	tp.p.mu.Unlock()
+	// Provisional deliveries are settled after more than copyHorizon.
+	tp.p.recordLatency(endpoint, provisionalTime.max)
+	_, _ = c.Write([]byte(okAnswer))
+	tp.wantProvisional()
+	<-time.After(copyHorizon + 50*time.Millisecond)
+	tp.start("c")
+	tp.read(c)
+	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-"))
+	_ = c.Close()
+	tp.wantEnd(engine.DeliveryRetracted, 0)
+	tp.wantEnd(engine.ResetBeforeResponse, 0)
+}
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -212,7 +212,7 @@
 // finishFromStatus ends the call by the status code of its response, and reports whether that decides it. It does not if
 // the status line may be that of a copy. The connection is closed then, because the rest of the response is not read.
 func (s *h1Session) finishFromStatus() bool {
-	if s.call == nil || s.status == 0 || s.held != nil || s.history.hasStatus(s.conn.pool.elapsed(), s.status) {
+	if s.call == nil || s.status == 0 || s.held != nil || s.provisional.pending() || s.history.hasStatus(s.conn.pool.elapsed(), s.status) {
 		return false
 	}
 	end, ok := s.codec.EndFromStatus(s.request, s.status)
@@ -262,13 +262,14 @@
 
 func (s *h1Session) connLost(kind engine.OutcomeKind, reason string) {
 	s.closing = true
+	finished := s.finishFromStatus()
 	// A peer that closes an idle connection in order has answered all calls.
 	if s.call == nil && s.conn.closedInOrder && !s.provisional.surplus && !s.conn.pool.copiesExpected(s.conn.pool.elapsed()) {
 		s.settleProvisional(engine.DeliveryConfirmed)
 	} else {
 		s.settleProvisional(engine.DeliveryRetracted)
 	}
-	if s.call == nil || s.finishFromStatus() {
+	if finished || s.call == nil {
 		return
 	}
 	ends := make([]engine.Outcome, len(s.attempts))
