A wake-up after the end of a group of event loops writes nothing

Traced: the timers of unproven answers wake their connections later, also after the group has stopped; (*Loop).post then wrote its eight bytes to the number of the closed eventfd, which by then was the ledger of the next node in the test's process; replay stops at such a damage. In service a process opens few files between the end of its pool and its own, but the fault is older than the timers: any late post does it.

Now a released loop takes nothing more and its descriptors are closed under the lock that wake-ups are written under. TestWakeAfterStop fails on the text before (8 bytes were written to a file) and passes now.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -118,8 +118,11 @@
 // release closes the descriptors of loops that do not run.
 func (g *Group) release() {
 	for _, l := range g.loops {
+		l.mu.Lock()
+		l.released = true
 		_ = g.system.Close(l.epollFD)
 		_ = g.system.Close(l.wakeFD)
+		l.mu.Unlock()
 	}
 	if g.listener != nil {
 		g.listener.close(g.system)
@@ -151,10 +154,12 @@
 	// or there was more to read than one turn allows.
 	retries []*Conn
 
-	// mu guards posted.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// posted lists functions to be run on the loop's goroutine.
 	posted []func()
+	// released is set once the loop's descriptors are closed.
+	released bool
 }
 
 const (
@@ -191,13 +196,15 @@
 	return l, nil
 }
 
-// post has f run on the loop's goroutine. Functions run in the order of the calls.
+// post has f run on the loop's goroutine. Functions run in the order of the calls. After Group.Stop it does nothing.
 func (l *Loop) post(f func()) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.released {
+		return
+	}
 	l.posted = append(l.posted, f)
-	first := len(l.posted) == 1
-	l.mu.Unlock()
-	if first {
+	if len(l.posted) == 1 {
 		l.wake()
 	}
 }
@@ -205,7 +212,8 @@
 // wakeSignal is the number 1 as eight bytes in little-endian order. It is written to an eventfd.
 var wakeSignal = []byte{1, 0, 0, 0, 0, 0, 0, 0}
 
-// wake ends the loop's wait. If that fails, the wait ends by itself after maxWait.
+// wake ends the loop's wait. If that fails, the wait ends by itself after maxWait. It must not be called once the descriptors
+// are released: wakeFD may be another file's number by then.
 func (l *Loop) wake() {
 	_ = retryInterrupted(func() error {
 		_, err := l.group.system.Write(l.wakeFD, wakeSignal)
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -327,3 +329,50 @@
 	}
 	g.Stop()
 }
+
+// keepingEcho is an echo that hands over its connections.
+type keepingEcho struct {
+	echo
+	conns chan *eventloop.Conn
+}
+
+func (k *keepingEcho) Opened(c *eventloop.Conn) {
+	k.echo.Opened(c)
+	k.conns <- c
+}
+
+// Guards against a wake-up after the end of a group: the number of its closed descriptor may belong to a file by then, such as
+// the ledger of the next process in a test, and eight bytes would be written into that.
+func TestWakeAfterStop(t *testing.T) {
+	handler := &keepingEcho{conns: make(chan *eventloop.Conn, 1)}
+	g, err := eventloop.New(eventloop.Config{Loops: 1, TickInterval: time.Second}, handler, clock.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	g.Start()
+	client, err := net.Dial("tcp", g.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	c := <-handler.conns
+	g.Stop()
+	var files []*os.File
+	for range 32 {
+		file, err := os.Create(filepath.Join(t.TempDir(), "file"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = file.Close() }()
+		files = append(files, file)
+	}
+	c.Wake()
+	for _, file := range files {
+		if info, err := file.Stat(); err != nil || info.Size() > 0 {
+			t.Errorf("%d bytes were written to a file, %v", info.Size(), err)
+		}
+	}
+}
