The stand-in of an endpoint has recorded all its calls when Close returns

Traced: a call of the killed process arrives at the closing stand-in and is recorded after the mark from which the test looks (events 28 and 29 of the trace: the next process had opened its watch and been told no list yet). Close now waits for its connections, and serves none that is accepted in that moment.

--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -190,6 +190,10 @@
 	conns map[net.Conn]bool
 	// Conns counts the connections accepted so far.
 	Conns int
+	// closed is set by Close.
+	closed bool
+	// serving counts the goroutines that serve connections.
+	serving sync.WaitGroup
 }
 
 // Endpoint starts an endpoint that answers calls by handler. An empty addr takes a free port; the address of a closed
@@ -210,10 +214,14 @@
 				return
 			}
 			e.mu.Lock()
-			e.conns[c] = true
-			e.Conns++
+			if e.closed {
+				_ = c.Close()
+			} else {
+				e.conns[c] = true
+				e.Conns++
+				e.serving.Go(func() { e.serve(c) })
+			}
 			e.mu.Unlock()
-			go e.serve(c)
 		}
 	}()
 	return e, nil
@@ -226,14 +234,16 @@
 	e.mu.Unlock()
 }
 
-// Close stops listening and closes the connections.
+// Close stops listening and closes the connections. All their calls are recorded when it returns.
 func (e *Endpoint) Close() {
 	_ = e.ln.Close()
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.closed = true
 	for c := range e.conns {
 		_ = c.Close()
 	}
+	e.mu.Unlock()
+	e.serving.Wait()
 }
 
 // AcceptedConns returns the number of connections accepted so far.
