Silence settles a delivery while the next call of its connection is out, too

Cause: checkDeadlines settled idle connections only. The call's own answer, if the one before was a copy, comes after its own time, whatever else is out; so silence proves as much then. TestDeliveryIsSettledWhileTheNextCallIsOut fails on the text before and passes now.

--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -312,3 +312,16 @@
 	tp.wantEnd(engine.DeliveryRetracted, 0)
 	tp.wantEnd(engine.ResetBeforeResponse, 0)
 }
+
+// Guards against a delivery that is taken back with the connection of a later call, long after its answer: silence settles it
+// while that call is out, too. If the answer had been a copy, the true one would have come meanwhile.
+func TestDeliveryIsSettledWhileTheNextCallIsOut(t *testing.T) {
+	tp, c := startSecondCall(t)
+	_, _ = c.Write([]byte(okAnswer))
+	tp.wantProvisional()
+	tp.start("c")
+	tp.read(c)
+	tp.wantEnd(engine.DeliveryConfirmed, 0)
+	_ = c.Close()
+	tp.wantEnd(engine.ResetBeforeResponse, 0)
+}
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -292,7 +292,7 @@
 	switch {
 	case s.held != nil && now >= s.settleAt:
 		s.settle(now)
-	case s.call == nil && s.provisional.pending() && now >= s.settleAt:
+	case s.provisional.pending() && now >= s.settleAt && s.status == 0 && len(s.inBuffer) == 0:
 		s.settleProvisionalAfterSilence(now)
 	case s.head != nil && now-s.headAt > bodyTimeout:
 		s.finishFromStatus()
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -83,11 +83,14 @@
 	return true
 }
 
-// settleProvisionalAfterSilence settles the provisional answers of an idle connection. If copies are
+// settleProvisionalAfterSilence settles provisional answers that were followed by silence, also while a later call is out. If copies are
 // expected, the silence proves nothing, and the connection may be out of step.
 func (s *h1Session) settleProvisionalAfterSilence(now time.Duration) {
 	if s.provisional.surplus || s.conn.pool.copiesExpected(now) {
-		s.retractProvisional()
+		// The end of a call that is out settles them.
+		if s.call == nil {
+			s.retractProvisional()
+		}
 		return
 	}
 	s.settleProvisional(engine.DeliveryConfirmed)
