Answers are described for the log only where a line is written

Need: read once more: handleAnswer formatted the description of every answer, with the ids of its messages, on the event loop, though only copies are reported. It is made now where it is used. No change in what is decided or logged; two comments are wrapped. Measured: the tests of outbound pass, and TestCopiedAnswers with the log lines that it expects.

--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -20,8 +20,11 @@
 	head, body := s.head, s.inBuffer
 	names := s.codec.Names(s.request, head, body)
 	id := identifyAnswer(head, body)
-	description := s.describeAnswer(now, id)
 	judged := s.history.attribute(now, id, names, s.request.messages(), s.provisional.pending())
+	var description string
+	if judged == belongsToOther || s.held != nil {
+		description = s.describeAnswer(now, id)
+	}
 	s.closing = s.closing || head.Close
 	if judged == belongsToOther {
 		s.history.recordStray(now, id)
@@ -68,7 +71,8 @@
 }
 
 // finishProvisional ends the call with an unproven answer that delivers its only message, and reports whether it did. The
-// proof follows: silence on the connection, or an answer that names its messages. That is not enough while copies are expected, and for a message whose successors wait for its delivery.
+// proof follows: silence on the connection, or an answer that names its messages. That is not enough while copies are
+// expected, and for a message whose successors wait for its delivery.
 func (s *h1Session) finishProvisional(now time.Duration, ends []engine.Outcome, rest []byte) bool {
 	attempt := s.request.Attempts[0]
 	_, delivers := s.codec.EndFromStatus(s.request, ends[0].Status)
@@ -83,8 +87,8 @@
 	return true
 }
 
-// settleProvisionalAfterSilence settles provisional answers that were followed by silence, also while a later call is out. If copies are
-// expected, the silence proves nothing, and the connection may be out of step.
+// settleProvisionalAfterSilence settles provisional answers that were followed by silence, also while a later call is out.
+// If copies are expected, the silence proves nothing, and the connection may be out of step.
 func (s *h1Session) settleProvisionalAfterSilence(now time.Duration) {
 	if s.provisional.surplus || s.conn.pool.copiesExpected(now) {
 		// The end of a call that is out settles them.
