TestCallsThatFailForAMoment goes on until each kind of call has failed

Trace: the counts at the failure, e.g. 17 reads, 4 writes, 0 accepts, 2 waits. Twenty clients are accepted in some twenty calls of accept, fewer where several wait in the backlog, and each call fails with a probability of 0.3 for all kinds of error together; which of them are calls of accept depends on scheduling. No byte was lost. Change: rounds of twenty clients go on until all four kinds have failed, at most 20. All four are still required, all bytes and connections are checked in each round, and the failure names the counts.

--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -87,6 +87,9 @@
 	return nil
 }
 
+// maxRounds bounds the rounds of clients in TestCallsThatFailForAMoment.
+const maxRounds = 20
+
 // System calls fail at random with transient errors, all kinds together. Every byte must come back in order, and
 // no connection may end.
 func TestCallsThatFailForAMoment(t *testing.T) {
@@ -94,20 +97,28 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			g, e, f := serve(t, 1+int(seed%2))
 			f.SetFault(eventlooptest.RandomFaults(seed, 0.3, eventlooptest.TransientErrors))
-			var clients sync.WaitGroup
-			for n := range 20 {
-				clients.Go(func() {
-					if err := talk(g, bytes.Repeat([]byte{byte(n), 7}, 1000*(n+1))); err != nil {
-						t.Errorf("client %d: %v", n, err)
-					}
-				})
+			counts := g.ErrorCounts()
+			everyCallFailed := func() bool {
+				return counts.Reads.Load() > 0 && counts.Writes.Load() > 0 && counts.Accepts.Load() > 0 && counts.Waits.Load() > 0
+			}
+			// How many calls of each kind 20 clients take depends on scheduling, so that one round may inject no failure of a kind.
+			for round := 0; round == 0 || round < maxRounds && !everyCallFailed() && !t.Failed(); round++ {
+				var clients sync.WaitGroup
+				for n := range 20 {
+					clients.Go(func() {
+						if err := talk(g, bytes.Repeat([]byte{byte(n), 7}, 1000*(n+1))); err != nil {
+							t.Errorf("client %d: %v", n, err)
+						}
+					})
+				}
+				clients.Wait()
 			}
-			clients.Wait()
 			if len(e.failures) > 0 {
 				t.Errorf("a connection ended: %v", <-e.failures)
 			}
-			if r := g.ErrorCounts(); r.Reads.Load() == 0 || r.Writes.Load() == 0 || r.Accepts.Load() == 0 || r.Waits.Load() == 0 {
-				t.Error("not every call has failed")
+			if !everyCallFailed() {
+				t.Errorf("not every call has failed: %d reads, %d writes, %d accepts, %d waits", counts.Reads.Load(), counts.Writes.Load(), counts.Accepts.Load(),
+					counts.Waits.Load())
 			}
 		})
 	}
