--- a/internal/testbed/check.go
+++ b/internal/testbed/check.go
@@ -84,6 +84,11 @@
 	Sent time.Time
 }
 
+// tellsEnd reports whether the event is an answer that tells that its message is over: delivered, or withdrawn.
+func (e *Event) tellsEnd() bool {
+	return e.Kind == CallAnswered && (e.Status == 200 || e.Status == 410)
+}
+
 // SlowStart describes how many calls a recovered endpoint may receive during slow start.
 type SlowStart struct {
 	// Capacity is the number of calls a second that a warm endpoint can serve.
@@ -146,7 +151,7 @@
 	refusedBy string
 	// rejected is set when the client received 429 or 503, after which it may safely submit the message again.
 	rejected bool
-	// deliveredAt is when a call first got the answer 200.
+	// deliveredAt is when a call first got the answer 200, or 410.
 	deliveredAt time.Time
 	// noticedAt is when the first notice about the message arrived.
 	noticedAt time.Time
@@ -311,7 +316,7 @@
 		c.message(e.Name).accepted = e
 	case CallAnswered, CallBroken:
 		c.callEnds[messageCall{e.Name, e.Call}] = e.At
-		if e.Kind == CallAnswered && e.Status == 200 {
+		if e.tellsEnd() {
 			c.noteMessageEnd(e)
 		}
 	// The message has ended when its dispatcher says so, also if the agent does not take the notice then.
@@ -412,7 +417,7 @@
 	case !m.noticedAt.IsZero() && e.At.After(m.noticedAt.Add(c.rules.ObservationLag)):
 		c.violation("rule 1: %s is called after its notice", e.Name)
 	case m.deliveryKnown:
-		c.violation("rule 1: %s is called after it was delivered", e.Name)
+		c.violation("rule 1: %s is called after it was delivered or over", e.Name)
 	case m.rejected:
 		c.violation("rule 1: %s is called though it was refused", e.Name)
 	}
@@ -526,6 +531,11 @@
 		if m.deliveredAt.IsZero() {
 			m.deliveredAt = e.At
 		}
+	case e.tellsEnd():
+		m.deliveryKnown = m.deliveryKnown || e.Call != m.orphanedCall && !h.mayLoseAnswer(e.At)
+		if m.deliveredAt.IsZero() {
+			m.deliveredAt = e.At
+		}
 	case e.Kind == CallBroken || e.Status >= 500 && e.Status != 503 && e.Status != 504:
 		m.possiblyExecuted = true
 	}
--- a/internal/testbed/check_test.go
+++ b/internal/testbed/check_test.go
@@ -86,6 +86,8 @@
 		{"no notice after a restart", "rule 1", []Event{accepted(0, "a", "free", ""), {At: at(1500), Kind: RestartBegan}, {At: at(3000), Kind: RestartEnded}}},
 		{"ended too late", "rule 1", []Event{accepted(0, "a", "free", ""), {At: at(2400), Kind: NoticeReceived, Name: "a"}}},
 		{"called after its notice", "rule 1", []Event{accepted(0, "a", "free", ""), {At: at(5), Kind: NoticeReceived, Name: "a"}, call(106, "a", 1)}},
+		{"called after it was told to be over", "rule 1", []Event{accepted(0, "a", "free", ""), call(1, "a", 1), answered(2, "a", 1, 410), call(60, "a", 2), answered(61, "a", 2, 410)}},
+		{"over, without a notice", "", []Event{accepted(0, "a", "once", ""), call(1, "a", 1), answered(2, "a", 1, 410)}},
 		{"called after delivery", "rule 1", []Event{accepted(0, "a", "free", ""), call(1, "a", 1), answered(2, "a", 1, 200), call(60, "a", 2)}},
 		{"call given up while its answer arrived", "", []Event{accepted(0, "a", "free", ""), call(1, "a", 1), answered(2, "a", 1, 200), call(6, "a", 2), answered(7, "a", 2, 500), call(90, "a", 3), answered(91, "a", 3, 200)}},
 		{"at most once, called again after a broken call", "rule 2", []Event{accepted(0, "a", "once", ""), call(1, "a", 1), {At: at(2), Kind: CallBroken, Name: "a", Host: "h", Call: 1}, call(6, "a", 2)}},
--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -53,12 +53,9 @@
 
 // reset closes both sides with a TCP reset, as a machine does that has lost the connection's state.
 func (p *proxiedConn) reset() {
-	for _, c := range []net.Conn{p.client, p.endpoint} {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-	}
-	p.close()
+	p.closeOnce.Do(func() { close(p.closed) })
+	reset(p.client)
+	reset(p.endpoint)
 }
 
 // Proxy starts a proxy before an endpoint.
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -7,10 +7,12 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -54,8 +56,18 @@
 	Close bool
 	// Copies are sent after the answer, whatever the connection carries by then.
 	Copies []Copy
+	// Over are the messages of the call that are over. The answer tells it: as 410 for a single message, and as "void" in an
+	// answer to several.
+	Over []string
+	// BreakAt is the number of bytes of the answer after which the connection is reset, 0 for a whole answer.
+	BreakAt int
+	// ResetAfter is the time from the answer until the connection is reset, 0 if it is not. With BreakAt it is at least resetDelay.
+	ResetAfter time.Duration
 }
 
+// resetDelay is the time from the last byte of an answer that is cut off until the reset, in which the bytes are read.
+const resetDelay = 5 * time.Millisecond
+
 // Copy is a second copy of an answer, which belongs to no call.
 type Copy struct {
 	// After is the time from the answer until the copy.
@@ -143,11 +155,11 @@
 	return n
 }
 
-// AllEnded reports whether each of the messages was delivered or ended by a notice.
+// AllEnded reports whether each of the messages was delivered, was over, or ended by a notice.
 func AllEnded(events []Event, names []string) bool {
 	ended := map[string]bool{}
 	for _, e := range events {
-		if e.Kind == NoticeReceived || e.Kind == CallAnswered && e.Status == 200 {
+		if e.Kind == NoticeReceived || e.tellsEnd() {
 			ended[e.Name] = true
 		}
 	}
@@ -349,9 +361,10 @@
 	readEnded := make(chan struct{})
 	if reply.Delay > 0 || reply.Hang {
 		// Meanwhile the connection is read only to see the dispatcher close it, because no second request may arrive.
+		var readErr error
 		go func() {
 			defer close(readEnded)
-			_, _ = c.Read(make([]byte, 1))
+			_, readErr = c.Read(make([]byte, 1))
 		}()
 		var replyDue <-chan time.Time
 		if !reply.Hang {
@@ -365,6 +378,11 @@
 			_ = c.SetReadDeadline(clock.Wall())
 			<-readEnded
 			_ = c.SetReadDeadline(time.Time{})
+			// The dispatcher closed the connection just now, and does not read the answer.
+			if !errors.Is(readErr, os.ErrDeadlineExceeded) {
+				e.record(call, Event{Kind: CallBroken})
+				return false
+			}
 		}
 	}
 	if reply.Drop {
@@ -375,14 +393,54 @@
 	if text == "" {
 		text = formatResponse(reply, call)
 	}
-	e.record(call, Event{Kind: CallAnswered, Status: reply.Status, Wait: reply.RetryAfter, Conn: c.number, Alike: c.noteAnswer(reply.Status) && !call.Bulk})
+	cut := reply.BreakAt > 0 && reply.BreakAt < len(text)
+	if cut {
+		text, reply.TrailingBytes, reply.ResetAfter = text[:reply.BreakAt], "", max(reply.ResetAfter, resetDelay)
+	}
+	e.recordAnswer(c, call, &reply, text, cut)
 	if _, err := io.WriteString(c, text+reply.TrailingBytes); err != nil {
 		return false
 	}
 	for _, answerCopy := range reply.Copies {
 		time.AfterFunc(answerCopy.After, func() { e.sendCopy(c, text, answerCopy, call) })
 	}
-	return !reply.Close
+	if reply.ResetAfter > 0 {
+		time.AfterFunc(reply.ResetAfter, func() { reset(c.Conn) })
+	}
+	return !reply.Close && !cut
+}
+
+// recordAnswer records what an answer tells of each message of a call: its end, or nothing if the answer is cut off before. A
+// delivery of several messages counts once the whole answer is written (protocol page).
+func (e *Endpoint) recordAnswer(c *endpointConn, call Call, reply *Reply, text string, cut bool) {
+	event := Event{At: clock.Wall(), Kind: CallAnswered, Status: reply.Status, Wait: reply.RetryAfter, Host: call.Host, Dest: call.Dest, Call: call.Number, Conn: c.number, Alike: c.noteAnswer(reply.Status) && !call.Bulk}
+	events := make([]Event, len(call.MessageNames))
+	for i, name := range call.MessageNames {
+		events[i] = event
+		events[i].Name = name
+		told := strings.Contains(text, "\r\n")
+		if slices.Contains(reply.Over, name) {
+			events[i].Status = 410
+			told = told && (!call.Bulk || strings.Contains(text, voidLine(name)))
+		} else if call.Bulk {
+			told = !cut
+		}
+		if !told {
+			events[i] = Event{At: event.At, Kind: CallBroken, Name: name, Host: call.Host, Dest: call.Dest, Call: call.Number}
+		}
+	}
+	e.testbed.Record(events...)
+}
+
+// voidLine returns the line of an answer to several messages that tells that one is over.
+func voidLine(name string) string { return name + " void\r\n" }
+
+// reset closes a connection with a TCP reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
 }
 
 // sendCopy sends an answer again. The kernel keeps the writes of several goroutines to a connection apart.
@@ -396,14 +454,22 @@
 	}
 }
 
-// formatResponse formats an answer. A 200 for a bulk call gets a body that confirms each message.
+// formatResponse formats an answer. A 200 for a bulk call gets a body that tells the end of each message. The answer to a call
+// with a single message that is over has the status 410.
 func formatResponse(reply Reply, call Call) string {
 	body := reply.Body
 	if reply.Status == 200 && call.Bulk && body == "" {
 		for _, n := range call.MessageNames {
-			body += n + " done\r\n"
+			if slices.Contains(reply.Over, n) {
+				body += voidLine(n)
+			} else {
+				body += n + " done\r\n"
+			}
 		}
 	}
+	if !call.Bulk && len(reply.Over) > 0 {
+		reply.Status, body = 410, cmp.Or(body, "it is over")
+	}
 	headers := append([]string{"Content-Length", strconv.Itoa(len(body))}, reply.ExtraHeaders...)
 	if reply.RetryAfter > 0 {
 		headers = append(headers, "Retry-After", strconv.FormatFloat(reply.RetryAfter.Seconds(), 'f', 3, 64))
