An answer in doubt that may have ended its message forbids a further call

Callers saw: 410, 0.15 s later the same call, 410 again, then the notice (rule on lost requests). Cause: an answer in doubt ended its attempt as possibly executed whatever it said, so the decision library repeated it. Four places: (*h1Session).finishUnproven (a held 410 behind a cancel, a further answer, an alarm for copies), connLost (a held 410, or one cut off behind its status line), abandon (which settled a held answer before its silence was over), finishProven (a malformed answer to several). What may have ended a message (200, 410, 504, and done, void, used_up in as much of an answer as has come, also in the midst of another one) makes the attempt PossiblyOver: the message fails, which its notice tells and which does no harm if it was over. A refusal or an error leaves the attempt possibly executed, as before. An answer that is held is not settled early any more: a cancel is no proof. While such an answer is held, safety.Guard refuses any call for its message (ErrPossiblyOver). It leans on rule 1: the message still gets its final answer, by the notice; TestEndInDoubt checks that for each class.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -288,6 +288,9 @@
 	// provisional deliveries.
 	Open, InFlight, Unsettled int
 
+	// EndedInDoubt is the number of failed messages that may have been over before (see Outcome.PossiblyOver).
+	EndedInDoubt uint64
+
 	// Violations is the number of violations of the safety rules that were prevented.
 	Violations uint64
 }
@@ -558,7 +561,8 @@
 	delete(c.inFlight, outcome.Seq)
 	state := c.messages[attempt.Message.ID]
 	classification := c.classify(attempt, outcome)
-	result := safety.AttemptResult{PossiblyExecuted: classification.PossiblyExecuted, Unsent: outcome.Kind.nothingWritten(), NotCounted: classification.Result == control.NotSent, Unconfirmed: classification.unconfirmed()}
+	result := safety.AttemptResult{PossiblyExecuted: classification.PossiblyExecuted, Unsent: outcome.Kind.nothingWritten(), NotCounted: classification.Result == control.NotSent, Unconfirmed: classification.unconfirmed(),
+		PossiblyOver: outcome.PossiblyOver}
 	if err := c.guard.FinishAttempt(c.now, attempt.SafetyCall(), attempt.StartedAt, result); err != nil {
 		c.logger.InternalError(err.Error())
 		classification = Classification{control.Reset, true, false, "its end is not what was written: it may have run"}
@@ -582,6 +586,8 @@
 			kind = Served
 		}
 		c.answer(state, Answer{Kind: kind})
+	case !state.ended && outcome.PossiblyOver:
+		c.endInDoubt(state)
 	}
 	if l := c.options.Ledger; l != nil && !state.ended {
 		l.RecordAttemptEnd(attempt, result)
@@ -597,6 +603,12 @@
 	c.removeIfDone(state)
 }
 
+// endInDoubt ends a message that may be over. It fails, because nothing proves that it was delivered.
+func (c *Core) endInDoubt(state *messageState) {
+	c.stats.EndedInDoubt++
+	c.answer(state, Answer{Kind: Failed, Reason: "an answer in doubt may have ended it"})
+}
+
 // classify returns the meaning of an attempt's outcome.
 func (c *Core) classify(a *Attempt, e *Outcome) Classification {
 	if c.options.Classify != nil {
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -83,6 +83,11 @@
 	Detail     string       // An optional explanation, which is appended to the reason.
 	At         control.Time // When the response arrived, or zero if that is now.
 
+	// PossiblyOver is set if a response, of which it is not known whether it is that of the attempt, or which is not whole, may tell that
+	// the message is over or may not be attempted again. No further attempt is made. The message fails, which does no harm if it
+	// was over.
+	PossiblyOver bool
+
 	// Provisional is set for a response that delivers the message unless it is that of another attempt. A second outcome
 	// follows, which is DeliveryConfirmed or DeliveryRetracted.
 	Provisional bool
--- a/internal/engine/provisional_test.go
+++ b/internal/engine/provisional_test.go
@@ -80,3 +80,23 @@
 	c.Round(4*control.Second, []Input{{Outcome: &Outcome{Seq: seq, Kind: DeliveryRetracted}}})
 	b.want(t)
 }
+
+// TestEndInDoubt checks that a message that may be over fails at once, whatever its class, and is not called again.
+func TestEndInDoubt(t *testing.T) {
+	for class := range settings().Classes {
+		b, c := newSpy(t)
+		in := b.msg(1, 2, 10)
+		in.Submit.Class = class
+		c.Round(2*control.Second, []Input{in})
+		b.want(t, "take m1", "told m1", "start 1")
+		c.Round(2*control.Second+1000, []Input{{Outcome: &Outcome{Seq: b.calls[0][0].Seq, Kind: UnprovenAnswer, PossiblyOver: true}}})
+		b.want(t, "over m1 true", "final m1 failed")
+		for now, ok := c.NextTimer(); ok && now < 4*control.Second; now, ok = c.NextTimer() {
+			c.Round(now, nil)
+		}
+		b.want(t)
+		if st := c.Stats(); st.Open != 0 || st.Failed != 1 || st.EndedInDoubt != 1 || st.Violations != 0 {
+			t.Errorf("%+v", st)
+		}
+	}
+}
--- a/internal/outbound/admission_test.go
+++ b/internal/outbound/admission_test.go
@@ -70,6 +70,12 @@
 	f.logf("taken back %s", a.Message.ExternalID)
 }
 
+func (f *fakeAdmission) MarkPossiblyOver(attempts []*engine.Attempt) {
+	for _, a := range attempts {
+		f.logf("possibly over %s", a.Message.ExternalID)
+	}
+}
+
 func (f *fakeAdmission) wantEvents(t *testing.T, events ...string) {
 	t.Helper()
 	if got := f.takeEvents(); !slices.Equal(got, events) {
--- a/internal/outbound/attribution.go
+++ b/internal/outbound/attribution.go
@@ -274,11 +274,13 @@
 	arrivedAt time.Duration
 	// conflict is set once answers came that differ, of which none is proven.
 	conflict bool
+	// tellsEnd holds for each attempt whether one of the answers tells that its message is over.
+	tellsEnd []bool
 }
 
-// add adds a further answer of the call. It reports whether that one is proven: it is unlike all before it, so it is no
-// copy, and the call that is out is the only one without an answer.
-func (a *heldAnswer) add(id answerID, judged attribution) (proven bool) {
+// add adds a further answer of the call, which tells the end of some of its messages. It reports whether that one is proven: it is
+// unlike all before it, so it is no copy, and the call that is out is the only one without an answer.
+func (a *heldAnswer) add(id answerID, judged attribution, tellsEnd []bool) (proven bool) {
 	switch {
 	case id == a.id:
 		return false
@@ -286,5 +288,8 @@
 		return true
 	}
 	a.conflict = true
+	for i, told := range tellsEnd {
+		a.tellsEnd[i] = a.tellsEnd[i] || told
+	}
 	return false
 }
--- a/internal/outbound/copies.go
+++ b/internal/outbound/copies.go
@@ -15,6 +15,9 @@
 	// TakenBack is the number of calls that ended as possibly executed although an answer came, because it may have been
 	// that of another call.
 	TakenBack uint64
+	// EndedInDoubt is the number of messages that get no further call because an answer that may have been that of another call, or
+	// was not whole, may have ended them.
+	EndedInDoubt uint64
 }
 
 // AnswerCounts returns the counts so far.
@@ -71,6 +74,16 @@
 	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("answer %d taken back, on connection %d: %s", count, c.number, description))
 }
 
+// recordInDoubt counts and reports a message that an answer in doubt may have ended.
+func (p *Pool) recordInDoubt(c *conn, description string) {
+	p.mu.Lock()
+	p.answerCounts.EndedInDoubt++
+	c.endpoint.counts.EndedInDoubt++
+	count := c.endpoint.counts.EndedInDoubt
+	p.mu.Unlock()
+	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("end %d in doubt, on connection %d: %s", count, c.number, description))
+}
+
 // copiesExpected reports whether any endpoint sent a copy within copyAlertPeriod.
 func (p *Pool) copiesExpected(now time.Duration) bool {
 	p.mu.Lock()
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -32,6 +32,9 @@
 	// missing or malformed. The result ok is false if the status code does not decide. It must be false for a call
 	// in the named form.
 	EndFromStatus(request HTTP1Request, status int) (end engine.Outcome, ok bool)
+	// TellsEnd reports for each attempt of a call whether a response with this status, and as much of its body as has
+	// arrived, tells that the message is over or may not be attempted again.
+	TellsEnd(request HTTP1Request, status int, body []byte) []bool
 }
 
 // HTTP1Request is a call as a request carries it.
@@ -190,12 +193,15 @@
 	if s.call != t.call {
 		return
 	}
-	// The time for a proof is over. Silence until now has to do.
-	if s.held != nil {
-		s.settle(s.conn.pool.elapsed())
+	timeIsOver := t.endKind == engine.TimedOut && t.attempt.Deadline >= t.attempt.MessageDeadline
+	switch {
+	case s.held != nil && timeIsOver && s.hasLiveAttempts():
 		return
-	}
-	if t.endKind == engine.TimedOut && t.attempt.Deadline >= t.attempt.MessageDeadline && !s.finishFromStatus() && s.hasLiveAttempts() {
+	// The time for a proof is over.
+	case s.held != nil:
+		s.finishUnproven("given up before its answer was proven")
+		return
+	case timeIsOver && !s.finishFromStatus() && s.hasLiveAttempts():
 		return
 	}
 	// connLost reports the end, once the connection is closed and nothing more can arrive.
@@ -272,17 +278,19 @@
 	if finished || s.call == nil {
 		return
 	}
+	possiblyOver := s.possiblyOver()
 	ends := make([]engine.Outcome, len(s.attempts))
 	for i, t := range s.attempts {
-		ends[i] = engine.Outcome{Kind: kind, Detail: reason}
+		ends[i] = engine.Outcome{Kind: kind, Detail: reason, PossiblyOver: possiblyOver[i]}
 		s.conn.pool.mu.Lock()
 		if t.abandoned {
-			ends[i] = engine.Outcome{Kind: t.endKind}
+			ends[i].Kind, ends[i].Detail = t.endKind, ""
 		} else if s.head != nil && kind == engine.ResetBeforeResponse {
 			ends[i].Kind = engine.ResetDuringResponse
 		}
 		s.conn.pool.mu.Unlock()
 	}
+	s.reportDoubt(reason, possiblyOver)
 	s.finish(ends)
 }
 
@@ -294,8 +302,8 @@
 		s.settle(now)
 	case s.provisional.pending() && now >= s.settleAt && s.status == 0 && len(s.inBuffer) == 0:
 		s.settleProvisionalAfterSilence(now)
-	case s.head != nil && now-s.headAt > bodyTimeout:
-		s.finishFromStatus()
+	case s.head != nil && now-s.headAt > bodyTimeout && !s.finishFromStatus() && !s.request.Named && s.possiblyOver()[0]:
+		s.finishUnproven("the body of its answer does not come")
 	}
 	return nil
 }
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -39,6 +40,10 @@
 	return engine.Outcome{Kind: engine.Answered, Status: status}, status == 200 && len(r.Attempts) == 1
 }
 
+func (p plainCodec) TellsEnd(r HTTP1Request, status int, _ []byte) []bool {
+	return slices.Repeat([]bool{status == 200 || status == 410}, len(r.Attempts))
+}
+
 // testPool is a Pool with an HTTP/1.1 peer whose connections the test controls.
 type testPool struct {
 	t     *testing.T
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -31,9 +31,16 @@
 		s.skipAnswer(now, "an answer to another call: "+description)
 		return rest
 	}
+	if names != NamesCall && holdsAnswer(body, rest) {
+		s.history.recordAnswer(now, id, false)
+		s.conn.pool.recordPart(s.conn, now)
+		s.inBuffer = append(body[:len(body):len(body)], rest...)
+		s.finishUnproven("an answer within another one")
+		return nil
+	}
 	s.history.recordAnswer(now, id, names == NamesCall)
 	switch {
-	case s.held != nil && !s.held.add(id, judged):
+	case s.held != nil && !s.held.add(id, judged, s.codec.TellsEnd(s.request, head.Status, body)):
 		s.skipAnswer(now, "a further answer: "+description)
 		return rest
 	case s.held != nil:
@@ -139,6 +146,7 @@
 	// The call may still be out if its answer is malformed.
 	if slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.Kind == engine.ProtocolError }) {
 		s.closing = true
+		s.markPossiblyOver(ends)
 		s.conn.netConn.CloseBoth()
 		if bytes.Contains(s.inBuffer, []byte(answerStart)) {
 			s.conn.pool.recordPart(s.conn, now)
@@ -148,10 +156,21 @@
 	s.finish(ends)
 }
 
+// markPossiblyOver marks those of the ends that are malformed and whose message an answer in doubt may have ended.
+func (s *h1Session) markPossiblyOver(ends []engine.Outcome) {
+	for i, over := range s.possiblyOver() {
+		if ends[i].Kind == engine.ProtocolError {
+			ends[i].PossiblyOver = over
+		}
+	}
+}
+
 // hold keeps an unproven answer until a later one or silence decides. An answer with a wait is not kept, because the wait
-// counts from now on: its call ends without a proof, and its connection with it.
+// counts from now on: its call ends without a proof, and its connection with it. While a message may be over, nothing else may
+// call it.
 func (s *h1Session) hold(now time.Duration, id answerID, ends []engine.Outcome) {
-	s.held = &heldAnswer{id: id, ends: ends, arrivedAt: now}
+	s.held = &heldAnswer{id: id, ends: ends, arrivedAt: now, tellsEnd: s.codec.TellsEnd(s.request, id.status, s.inBuffer)}
+	s.admitNoCall(s.held.tellsEnd)
 	s.conn.pool.cfg.Trace("endpoint %d: answer %d to attempt %d of message %s may be a copy: held", s.conn.endpoint.id, id.status, s.request.Attempts[0].Number,
 		s.request.Attempts[0].Message.ExternalID)
 	if s.closing || slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.RetryAfter > 0 }) {
@@ -189,15 +208,17 @@
 
 // finishUnproven ends the call as possibly executed, and its connection with it.
 func (s *h1Session) finishUnproven(reason string) {
+	possiblyOver := s.possiblyOver()
 	s.retractProvisional()
 	ends := make([]engine.Outcome, len(s.attempts))
 	for i := range ends {
-		ends[i] = engine.Outcome{Kind: engine.UnprovenAnswer, Detail: reason}
+		ends[i] = engine.Outcome{Kind: engine.UnprovenAnswer, Detail: reason, PossiblyOver: possiblyOver[i]}
 		if s.held != nil {
 			ends[i].RetryAfter = s.held.ends[i].RetryAfter
 		}
 	}
 	s.conn.pool.recordTakenBack(s.conn, reason+", messages out: "+s.request.names())
+	s.reportDoubt(reason, possiblyOver)
 	s.finish(ends)
 }
 
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -49,6 +49,9 @@
 	Record(call []*engine.Attempt) (writable []*engine.Attempt, err error)
 	// MarkUnwritten reports that an attempt for which Write returned nil was not written after all.
 	MarkUnwritten(a *engine.Attempt)
+	// MarkPossiblyOver reports that an answer which is not proven to be that of a call may have ended the messages of these
+	// attempts. Until the ends of the attempts are known, no call may be written for them.
+	MarkPossiblyOver(attempts []*engine.Attempt)
 }
 
 // session is the protocol state of one connection. Only the connection's event loop uses it. It reports the ends
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -67,6 +67,40 @@
 	return engine.Outcome{Kind: engine.Answered, Status: status, Detail: "the rest of the answer was spoilt"}, status == 200 && !r.Named
 }
 
+// endingStatuses are the statuses that tell that a message is over (200, 410), or that it may not be attempted again (504).
+var endingStatuses = []int{200, 410, 504}
+
+// TellsEnd implements outbound.HTTP1Codec. A bulk response with status 200 tells the end of the messages in those of its lines
+// that have arrived; a line that is cut off counts if its result can still be an end.
+func (c CallCodec) TellsEnd(r outbound.HTTP1Request, status int, body []byte) []bool {
+	tells := make([]bool, len(r.Attempts))
+	if !r.Named || status != 200 {
+		for i := range tells {
+			tells[i] = slices.Contains(endingStatuses, status)
+		}
+		return tells
+	}
+	ended := endedMessages(body)
+	for i, a := range r.Attempts {
+		tells[i] = ended[a.Message.ExternalID]
+	}
+	return tells
+}
+
+// endedMessages returns the messages that the readable lines of a bulk response tell to have ended.
+func endedMessages(body []byte) map[string]bool {
+	ended := map[string]bool{}
+	for line := range bytes.Lines(body) {
+		name, result, _ := strings.Cut(strings.TrimRight(string(line), "\r\n"), " ")
+		for text, status := range bulkStatus {
+			if result != "" && strings.HasPrefix(text, result) && slices.Contains(endingStatuses, status) {
+				ended[name] = true
+			}
+		}
+	}
+	return ended
+}
+
 // Names implements outbound.HTTP1Codec. Only a bulk response with status 200 names its messages.
 func (c CallCodec) Names(r outbound.HTTP1Request, head *h1.Response, body []byte) outbound.AnswerNames {
 	if !r.Named || head.Status != 200 {
--- a/internal/platform/ledgeradapter.go
+++ b/internal/platform/ledgeradapter.go
@@ -74,6 +74,13 @@
 	la.logFailure(la.ledger.RevokeAttempt(a.Message.ExternalID))
 }
 
+// MarkPossiblyOver implements outbound.Admission. It has no call made for messages that may be over.
+func (la *ledgerAdapter) MarkPossiblyOver(attempts []*engine.Attempt) {
+	for _, a := range attempts {
+		la.guard.MarkPossiblyOver(a.SafetyCall())
+	}
+}
+
 // Record implements outbound.Admission. It records the attempts of a call before they are written. If that
 // fails, only messages that may be repeated freely are allowed; they need no record before they are sent.
 func (la *ledgerAdapter) Record(call []*engine.Attempt) ([]*engine.Attempt, error) {
--- a/internal/safety/safety.go
+++ b/internal/safety/safety.go
@@ -47,6 +47,9 @@
 	// ErrOtherZone means that a message may have been executed in one zone, and that other zones would not deduplicate it.
 	ErrOtherZone = errors.New("it may have been executed in another zone, where alone repeats are dropped")
 
+	// ErrPossiblyOver means that an answer of which it is not known whether it is that of the message may tell that it is over.
+	ErrPossiblyOver = errors.New("it may be over")
+
 	// ErrEndpointWithdrawn means that the endpoint is draining or gone.
 	ErrEndpointWithdrawn = errors.New("the endpoint drains or is gone")
 
@@ -147,6 +150,9 @@
 	inFlight int  // The number of the attempt in flight, or noAttempt.
 	written  bool // The attempt in flight may have been written.
 	finished bool
+
+	// possiblyOver is set if an answer may have told that the message is over.
+	possiblyOver bool
 }
 
 // noAttempt is the value of message.inFlight while no attempt is in flight.
@@ -221,6 +227,16 @@
 	}
 }
 
+// MarkPossiblyOver records that an answer, of which it is not known whether it is that of a call in flight, may tell that the
+// message is over. Until FinishAttempt says otherwise, no call is authorized for it.
+func (g *Guard) MarkPossiblyOver(c Call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.messages[c.Message]; m != nil && m.inFlight == c.Attempt {
+		m.possiblyOver = true
+	}
+}
+
 // checkCall returns the reason why a call must not be made now, or nil. It holds the checks that AuthorizeCall and Write have
 // in common. The caller holds the lock.
 func (g *Guard) checkCall(now control.Time, m *message, c Call) error {
@@ -230,6 +246,8 @@
 	switch {
 	case m.finished:
 		return ErrMessageFinished
+	case m.possiblyOver:
+		return ErrPossiblyOver
 	case now >= m.Deadline:
 		return ErrDeadlineExceeded
 	case g.isWithdrawn(c.Endpoint):
@@ -293,6 +311,9 @@
 
 	// Unconfirmed is set if the peer did not report the end of the attempt, which may still be executing.
 	Unconfirmed bool
+
+	// PossiblyOver is set if the message may be over. It replaces what MarkPossiblyOver said of the attempt.
+	PossiblyOver bool
 }
 
 // FinishAttempt records the end of a call that began at the given time. An error is a *Violation: either the attempt is not
@@ -305,7 +326,7 @@
 	if m == nil || m.inFlight != c.Attempt {
 		return g.recordViolation("end of an attempt", c.Message, ErrUnknownMessage)
 	}
-	m.inFlight = noAttempt
+	m.inFlight, m.possiblyOver = noAttempt, result.PossiblyOver
 	var err error
 	if result.Unsent && m.written {
 		err = g.recordViolation("end as unsent", c.Message, ErrAlreadyWritten)
--- a/internal/safety/safety_test.go
+++ b/internal/safety/safety_test.go
@@ -51,6 +51,12 @@
 		{"shorter wait behind a longer one", classFree, func(g *Guard, c Call) { g.SetRetryAfter(c, 4*s); g.SetRetryAfter(c, 2*s) }, 3 * s, nil, ErrRetryAfterPending},
 		{"another route waits", classFree, func(g *Guard, c Call) { c.PerEndpointLimits, c.Endpoint = true, 8; g.SetRetryAfter(c, 4*s) }, 3 * s, func(c *Call) { c.PerEndpointLimits = true }, nil},
 		{"its route waits", classFree, func(g *Guard, c Call) { c.PerEndpointLimits = true; g.SetRetryAfter(c, 4*s) }, 3 * s, func(c *Call) { c.PerEndpointLimits = true }, ErrRetryAfterPending},
+		{"possibly over", classFree, afterAttempt(AttemptResult{PossiblyExecuted: true, PossiblyOver: true}), 3 * s, nil, ErrPossiblyOver},
+		{"possibly over, until its attempt's end said otherwise", classFree, func(g *Guard, c Call) {
+			_ = g.AuthorizeCall(s, c)
+			g.MarkPossiblyOver(c)
+			_ = g.FinishAttempt(2*s, c, s, AttemptResult{})
+		}, 3 * s, nil, nil},
 		{"free, executed", classFree, afterAttempt(executed), 19 * s, nil, nil},
 		{"once, never executed", classSingleShot, afterAttempt(AttemptResult{}), 3 * s, nil, nil},
 		{"once, executed", classSingleShot, afterAttempt(executed), 3 * s, nil, ErrPossiblyExecuted},
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -263,6 +263,13 @@
 // MarkUnwritten tells the guard that a permitted attempt was not written.
 func (p guardAdmission) MarkUnwritten(a *engine.Attempt) { p.guard.RevokeWrite(a.SafetyCall()) }
 
+// MarkPossiblyOver tells the guard that messages may be over.
+func (p guardAdmission) MarkPossiblyOver(attempts []*engine.Attempt) {
+	for _, a := range attempts {
+		p.guard.MarkPossiblyOver(a.SafetyCall())
+	}
+}
+
 // partnerProtocol builds requests and interprets responses in the dialect of each partner's kind.
 type partnerProtocol struct {
 	endpoints *endpointlist.Registry
