A delivery that is taken back ends by a notice, and is not called again

Cause: (*Core).reopen submitted a message anew when its provisional delivery was taken back, so the decision library called it again. Change: the message fails; the guard knows it as possibly over from the provisional answer on. Its notice does no harm if it was delivered. reopen and the second range of message ids are gone. It leans on rule 1, too: a message whose delivery was no delivery gets its end at once.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -332,7 +332,6 @@
 
 	// provisional holds the messages whose delivery is not confirmed, by the Seq of the attempt.
 	provisional map[uint64]*messageState
-	reopened    uint64 // The number of messages that were opened again after a retracted delivery.
 
 	placements   map[control.EndpointID]Placement
 	unannounced  []*messageState // Messages that this round accepted.
@@ -561,8 +560,9 @@
 	delete(c.inFlight, outcome.Seq)
 	state := c.messages[attempt.Message.ID]
 	classification := c.classify(attempt, outcome)
+	provisional := outcome.Provisional && classification.Final && !state.ended
 	result := safety.AttemptResult{PossiblyExecuted: classification.PossiblyExecuted, Unsent: outcome.Kind.nothingWritten(), NotCounted: classification.Result == control.NotSent, Unconfirmed: classification.unconfirmed(),
-		PossiblyOver: outcome.PossiblyOver}
+		PossiblyOver: outcome.PossiblyOver || provisional}
 	if err := c.guard.FinishAttempt(c.now, attempt.SafetyCall(), attempt.StartedAt, result); err != nil {
 		c.logger.InternalError(err.Error())
 		classification = Classification{control.Reset, true, false, "its end is not what was written: it may have run"}
@@ -576,7 +576,6 @@
 	if c.options.Trail != nil {
 		c.options.Trail.AttemptEnded(attempt, outcome, classification, state.ended)
 	}
-	provisional := outcome.Provisional && classification.Final && !state.ended
 	switch {
 	case provisional:
 		c.provisional[outcome.Seq] = state
@@ -603,12 +602,6 @@
 	c.removeIfDone(state)
 }
 
-// endInDoubt ends a message that may be over. It fails, because nothing proves that it was delivered.
-func (c *Core) endInDoubt(state *messageState) {
-	c.stats.EndedInDoubt++
-	c.answer(state, Answer{Kind: Failed, Reason: "an answer in doubt may have ended it"})
-}
-
 // classify returns the meaning of an attempt's outcome.
 func (c *Core) classify(a *Attempt, e *Outcome) Classification {
 	if c.options.Classify != nil {
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -64,7 +64,7 @@
 	DeliveryConfirmed
 
 	// DeliveryRetracted follows an outcome with Provisional set: the response may be that of another attempt, and the
-	// connection was closed. The attempt may have been executed.
+	// connection was closed. The message may be over, and gets no further attempt.
 	DeliveryRetracted
 )
 
--- a/internal/engine/provisional.go
+++ b/internal/engine/provisional.go
@@ -1,42 +1,25 @@
 package engine
 
-import "whinrun/control"
-
 // A delivery is provisional while it is not proven that the partner's answer belongs to the attempt. For the decision
-// library the message has ended. For the guard and the ledger it has not: it may have been executed, and is owed.
-
-// firstReopenedID is added to the IDs of messages that are opened again, which keeps them apart from those of Loop.Submit.
-const firstReopenedID = 1 << 63
+// library the message has ended. For the guard and the ledger it has not: it may be over, and is owed. It gets no further
+// attempt in any case.
 
-// settleDelivery ends a message whose delivery is confirmed, or opens it again.
+// settleDelivery ends a message whose delivery is confirmed, or may be that of another attempt.
 func (c *Core) settleDelivery(outcome *Outcome) {
 	state := c.provisional[outcome.Seq]
 	delete(c.provisional, outcome.Seq)
+	switch {
 	// The message was withdrawn, or its attempt ended in another way.
-	if state == nil || state.ended {
-		return
-	}
-	if outcome.Kind == DeliveryConfirmed {
+	case state == nil || state.ended:
+	case outcome.Kind == DeliveryConfirmed:
 		c.answer(state, Answer{Kind: Served})
-		return
+	default:
+		c.endInDoubt(state)
 	}
-	c.reopen(state)
 }
 
-// reopen submits a message again, as one that may have been executed. The decision library repeats it or ends it, as its
-// class allows.
-func (c *Core) reopen(state *messageState) {
-	at, zone, possiblyExecuted := c.guard.FirstExecution(state.message.ID)
-	m := *state.message
-	c.markFinished(state)
-	c.reopened++
-	m.ID = control.MessageID(firstReopenedID + c.reopened)
-	m.Lifetime, m.ReceivedAt = max(0, state.deadline-c.now), 0
-	m.Recovered = Recovered{Restored: true, Attempts: state.attempts, PossiblyExecuted: possiblyExecuted, ExecutedAt: at, ExecutedZone: zone}
-	c.submit(&m)
-	reopened := c.messages[m.ID]
-	reopened.deadline = state.deadline
-	reopened.recorded, reopened.unannounced = state.recorded, false // Its sender was told of the acceptance before.
-	reopened.lastStatus, reopened.lastDetail = state.lastStatus, state.lastDetail
-	c.stats.Accepted--
+// endInDoubt ends a message that may be over. It fails, because nothing proves that it was delivered.
+func (c *Core) endInDoubt(state *messageState) {
+	c.stats.EndedInDoubt++
+	c.answer(state, Answer{Kind: Failed, Reason: "an answer in doubt may have ended it"})
 }
