A message that has had all its attempts ends at once

Cause: Classify had 504 as not executed and not final. Change: it is final, so the notice follows at once.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -239,7 +239,7 @@
 	case 503:
 		return engine.Classification{Result: control.LimitExceeded, Reason: "503: turned away, it never ran"}
 	case 504:
-		return engine.Classification{Result: control.NotExecuted, Reason: "504: it has had all its attempts, this one never ran"}
+		return engine.Classification{Result: control.NotExecuted, Final: true, Reason: "504: it has had all its attempts, this one never ran"}
 	case 410:
 		return engine.Classification{Result: control.NotExecuted, Final: true, Reason: "410: it is over"}
 	case 400, 413:
--- a/internal/platform/over_test.go
+++ b/internal/platform/over_test.go
@@ -101,3 +101,31 @@
 		}
 	}
 }
+
+// Guards against further calls for a message that its endpoint says to have had all its attempts: its end follows at once.
+func TestNoAttemptIsLeft(t *testing.T) {
+	for _, kind := range []string{"single", "bulk"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			d := newTestDispatcher(t)
+			d.addEndpoint("a", 1, kind, func(call testbed.Call) testbed.Reply {
+				if !call.Bulk {
+					return testbed.Reply{Status: 504}
+				}
+				body := ""
+				for _, name := range call.MessageNames {
+					body += name + " used_up\r\n"
+				}
+				return testbed.Reply{Status: 200, Body: body}
+			})
+			d.startReady()
+			names := d.submitAll("x", 4, 1, "status", "sync", "upload")
+			d.bed.Await(2*time.Second, func(ev []testbed.Event) bool { return testbed.Count(ev, testbed.NoticeReceived, "") == len(names) })
+			for _, name := range names {
+				if calls, notices := d.countEvents(testbed.CallReceived, name), d.countEvents(testbed.NoticeReceived, name); calls != 1 || notices != 1 {
+					t.Errorf("%s: %d calls, %d notices", name, calls, notices)
+				}
+			}
+		})
+	}
+}
