Proof before doubt: calls have the named form, and connections that prove any answer come first

Without copies, deliveries were taken back for a reset or a hang behind them, because a plain 200 looks like the one before it. What costs nothing comes first now: where the kind of destination takes several messages in a call, a single one has the named form as soon as a plain 200 came on the connection within 1.5 s, also before a copy was seen; and of the free connections the first on which any answer would be proven is taken, then one on which a refusal would be, then any. No connection is opened for it.

--- a/internal/outbound/attribution.go
+++ b/internal/outbound/attribution.go
@@ -159,6 +159,16 @@
 	return len(h.answers) == maxHistory || slices.ContainsFunc(h.answers, func(a pastAnswer) bool { return a.id.status == status })
 }
 
+// deliveredUnnamed reports whether an answer that delivered a message without naming it came within copyHorizon. A plain
+// delivery may then be a copy of it.
+func (h *answerHistory) deliveredUnnamed(now time.Duration) bool {
+	h.forget(now)
+	return slices.ContainsFunc(h.answers, func(a pastAnswer) bool { return a.id.status == statusOK && !a.named })
+}
+
+// statusOK is the status of an answer that delivers.
+const statusOK = 200
+
 // mayBePart reports whether bytes that are no whole answer may be the first part of a copy.
 func (h *answerHistory) mayBePart(now time.Duration, b []byte) bool {
 	if status, ok := h1.ParseStatus(b); ok {
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -174,11 +174,11 @@
 	return nil
 }
 
-// needsName reports whether a call with a single attempt is to have the named form. Without a name its delivery may be
-// provisional, which is not enough while copies are expected, and for a message whose successors wait for its delivery. With
-// one it settles the provisional deliveries before it.
+// needsName reports whether a call with a single attempt is to have the named form. Without a name its answer may not be
+// proven: a delivery looks like the one before, and copies of any answer may follow. With one it settles the provisional
+// deliveries before it.
 func (s *h1Session) needsName(now time.Duration, a *engine.Attempt) bool {
-	return s.provisional.pending() || s.conn.pool.copiesExpected(now) || a.Message.OrderKey != 0 && !s.history.quiet(now)
+	return s.provisional.pending() || s.conn.pool.copiesExpected(now) || s.history.deliveredUnnamed(now) || a.Message.OrderKey != 0 && !s.history.quiet(now)
 }
 
 // resetResponse prepares for reading the next response.
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -347,23 +347,24 @@
 	p.mu.Unlock()
 }
 
-// assign puts a call on a connection that has capacity, and reports whether there is one: the first one on which a
-// refusal would be proven, or else the first one. Calls that start together then share a connection where they can and leave in one
-// write. A connection that has been idle for longer than IdleTimeout is skipped, because its peer may be closing it. While
+// assign puts a call on a connection that has capacity, and reports whether there is one: the first one on which any answer
+// would be proven, or else the first on which a refusal would be, or else the first one. Calls that start together then share a
+// connection where they can and leave in one write. A connection that has been idle for longer than IdleTimeout is skipped, because its peer may be closing it. While
 // copies of answers are expected, a connection is skipped until its next answer is sure to be proven. Pool.mu must be held.
 func (p *Pool) assign(k *call) bool {
 	now := p.clock.Now()
 	idleBefore := now - control.Time(p.cfg.IdleTimeout/time.Microsecond)
 	copiesExpected := p.expectsCopies(clock.Elapsed(p.clock))
 	var chosen *conn
+	var chosenRank proofRank
 	for _, c := range k.endpoint.conns {
 		if !c.usable || c.settling || c.inFlight >= c.capacity || c.inFlight == 0 && c.idleSince < idleBefore || copiesExpected && c.provableAt > now {
 			continue
 		}
-		if chosen == nil || c.doubtfulUntil <= now {
-			chosen = c
+		if rank := c.proofRank(now); chosen == nil || rank < chosenRank {
+			chosen, chosenRank = c, rank
 		}
-		if c.doubtfulUntil <= now {
+		if chosenRank == anyAnswerProven {
 			break
 		}
 	}
@@ -377,6 +378,30 @@
 	return true
 }
 
+// proofRank tells which answers to the next call on a connection would be proven to belong to it. A lower one is better.
+type proofRank uint8
+
+// Values of proofRank.
+const (
+	// anyAnswerProven means that any answer would be.
+	anyAnswerProven proofRank = iota
+	// refusalProven means that a refusal would be.
+	refusalProven
+	// nothingProven means that no answer would surely be.
+	nothingProven
+)
+
+// proofRank returns the rank of a connection. Pool.mu must be held.
+func (c *conn) proofRank(now control.Time) proofRank {
+	switch {
+	case c.provableAt <= now && c.doubtfulUntil <= now:
+		return anyAnswerProven
+	case c.doubtfulUntil <= now:
+		return refusalProven
+	}
+	return nothingProven
+}
+
 // enqueue adds a command for the connection's event loop. Pool.mu must be held.
 func (c *conn) enqueue(cmd command) {
 	c.commands = append(c.commands, cmd)
