--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -30,6 +30,8 @@
 	closeErr error
 	// retryScheduled is true while the connection is in the loop's retries.
 	retryScheduled bool
+	// readable is true from an event that there is something to read until a read has returned shortRead bytes, or was tried again.
+	readable bool
 	// readPaused is true while nothing is read.
 	readPaused bool
 	// opened is true once Handler.Opened has been called.
@@ -229,17 +231,26 @@
 	c.scheduleRetry()
 }
 
+// shortRead is the number of bytes below which a read may have been cut short. No message of a protocol here is so short.
+const shortRead = 16
+
 // readOnce reads once and calls the handler with the bytes. It returns false if nothing more is to be read now.
 func (c *Conn) readOnce() bool {
 	n, err := c.loop.group.system.Read(c.fd, c.loop.buffer)
 	switch {
 	case err == nil && n > 0:
+		c.readable = c.readable && n < shortRead
 		c.inbound = c.loop.buffer[:n]
 		c.notifyReady()
 		return true
 	case err == nil:
 		c.finish(io.EOF)
 	case errors.Is(err, unix.EAGAIN):
+		// The event said otherwise, and none may follow.
+		if c.readable {
+			c.readable = false
+			c.scheduleRetry()
+		}
 	case isTransient(err):
 		c.loop.group.errorCounts.Reads.Add(1)
 		c.scheduleRetry()
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -244,7 +244,7 @@
 	switch {
 	case err == nil:
 		for i := range l.events[:max(0, n)] {
-			l.handleEvent(int(l.events[i].Fd))
+			l.handleEvent(&l.events[i])
 		}
 	case errors.Is(err, unix.EINTR):
 	default:
@@ -295,13 +295,15 @@
 func (l *Loop) hasListener() bool { return l.first && l.group.listener != nil }
 
 // handleEvent handles an event of a descriptor.
-func (l *Loop) handleEvent(fd int) {
+func (l *Loop) handleEvent(event *unix.EpollEvent) {
+	fd := int(event.Fd)
 	switch c := l.conns[fd]; {
 	case fd == l.wakeFD:
 		l.drainWakeFD()
 	case l.hasListener() && fd == l.group.listener.fd:
 		l.accept()
 	case c != nil:
+		c.readable = event.Events&unix.EPOLLIN != 0
 		c.processIO()
 	default:
 		l.handleDialEvent(fd)
@@ -382,7 +384,7 @@
 }
 
 // A loop sweeps over its connections at times, without an event. A system call that wrongly returned EAGAIN is not
-// followed by an event.
+// followed by an event. The first read behind an event is tried again sooner (see Conn.readable).
 const (
 	// sweepInterval is the time between two sweeps.
 	sweepInterval = 500 * control.Millisecond
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -87,6 +87,45 @@
 	return nil
 }
 
+// Guards against a request that waits for the next sweep, because the read behind its event wrongly returned EAGAIN: a client then
+// waited 0.4 s for its answer, and its message was ended late.
+func TestReadThatWronglyReturnsEAGAIN(t *testing.T) {
+	g, _, f := serve(t, 1)
+	c, err := net.Dial("tcp", g.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	exchange := func() error {
+		if _, err := c.Write([]byte("hello")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(c, make([]byte, len("hello")))
+		return err
+	}
+	// The connection is open and idle behind a first exchange.
+	if err := exchange(); err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		var once sync.Once
+		f.SetFault(func(call string) (err error) {
+			if call == "read" {
+				once.Do(func() { err = unix.EAGAIN })
+			}
+			return err
+		})
+		watch := clock.StartStopwatch()
+		if err := exchange(); err != nil {
+			t.Fatal(err)
+		}
+		if took := watch.Elapsed(); took > 100*time.Millisecond {
+			t.Errorf("answered after %v", took)
+		}
+	}
+}
+
 // maxRounds bounds the rounds of clients in TestCallsThatFailForAMoment.
 const maxRounds = 20
 
