Soak: messages that are over, answers cut off, resets right behind answers

Three kinds of fault are new: over (410 and 'void', half of them cut off in a reset), reset-behind (up to 0.1 s behind an answer), doubt (both, with copies, parts and calls without an answer). A proxy passes an endpoint's reset on as one.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -82,6 +82,12 @@
 	{"copies", 4},
 	// An endpoint sends the first part of answers again, up to a second later.
 	{"parts", 1},
+	// An endpoint answers that some messages are over, half of the time in an answer that is cut off.
+	{"over", 3},
+	// An endpoint resets connections up to 0.1 s behind answers.
+	{"reset-behind", 2},
+	// An endpoint does all that together: copies, ends of messages, answers cut off, resets and calls without an answer.
+	{"doubt", 3},
 	// Connections to an endpoint are refused.
 	{"refuse", 2},
 	// The network to an endpoint lets nothing pass.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,14 +38,17 @@
 }
 
 // Short runs with few processes violate no rule and deliver a minimum of messages. Copies of answers, lists and requests are
-// among the faults of all of them; seed 10 is crowded throughout.
+// among the faults of all of them; seed 10 is crowded throughout. Seed 50 has answers in doubt in all forms, and processes that live for
+// a second or two.
 func TestShortRun(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "whinrun")
 	if out, err := exec.Command("go", "build", "-o", binary, "whinrun/cmd/whinrun").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	copies := []string{"copies", "parts", "agent-copies", "request-copies", "reset", "hang", "drain", "kill", "stop", "crowd"}
-	for _, cfg := range []Config{{Seed: 3, Duration: 4 * time.Second}, {Seed: 10, Duration: 4 * time.Second}, {Seed: 21, Duration: 6 * time.Second, FaultKinds: copies}} {
+	doubt := []string{"over", "reset-behind", "doubt", "copies", "kill", "kill-twice", "stop-kill", "reload-stop", "pause-stop"}
+	for _, cfg := range []Config{{Seed: 3, Duration: 4 * time.Second}, {Seed: 10, Duration: 4 * time.Second}, {Seed: 21, Duration: 6 * time.Second, FaultKinds: copies},
+		{Seed: 50, Duration: 6 * time.Second, FaultKinds: doubt}} {
 		t.Run(fmt.Sprint(cfg.Seed), func(t *testing.T) {
 			cfg.Binary, cfg.Nodes, cfg.Rate = binary, 4, 10
 			res, err := Run(context.Background(), cfg)
--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -1,8 +1,11 @@
 package testbed
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"whinrun/internal/loopback"
@@ -40,13 +43,18 @@
 type proxiedConn struct {
 	client, endpoint net.Conn
 	closeOnce        sync.Once
+	// endpointReset is set when the endpoint has reset its side.
+	endpointReset atomic.Bool
 	// closed is closed with the connection.
 	closed chan struct{}
 }
 
-// close closes both sides.
+// close closes both sides. A reset by the endpoint is one for the client, too.
 func (p *proxiedConn) close() {
 	p.closeOnce.Do(func() { close(p.closed) })
+	if p.endpointReset.Load() {
+		reset(p.client)
+	}
 	_ = p.client.Close()
 	_ = p.endpoint.Close()
 }
@@ -124,6 +132,8 @@
 			if err != nil {
 				if !deliverPending {
 					conn.close()
+				} else if errors.Is(err, syscall.ECONNRESET) {
+					conn.endpointReset.Store(true)
 				}
 				return
 			}
