Stand-in: a refusal of several messages tells no message that it is over

Trace: the endpoint answered the call of several with 503, which the node read whole (its log: 503, turned away, it never ran), and recorded it as broken, because messages of the call were to be over and their lines were not in the answer. Lines come with the status 200 only; a refusal is recorded as one, for all messages. The check stays as it is.

--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -57,7 +57,7 @@
 	// Copies are sent after the answer, whatever the connection carries by then.
 	Copies []Copy
 	// Over are the messages of the call that are over. The answer tells it: as 410 for a single message, and as "void" in an
-	// answer to several.
+	// answer to several with the status 200.
 	Over []string
 	// BreakAt is the number of bytes of the answer after which the connection is reset, 0 for a whole answer.
 	BreakAt int
@@ -395,10 +395,13 @@
 		events[i] = event
 		events[i].Name = name
 		told := strings.Contains(text, "\r\n")
-		if slices.Contains(reply.Over, name) {
+		over, listed := slices.Contains(reply.Over, name), call.Bulk && reply.Status == 200
+		switch {
+		case over && listed:
+			events[i].Status, told = 410, strings.Contains(text, voidLine(name))
+		case over && !call.Bulk:
 			events[i].Status = 410
-			told = told && (!call.Bulk || strings.Contains(text, voidLine(name)))
-		} else if call.Bulk {
+		case listed:
 			told = !cut
 		}
 		if !told {
