A status on an HTTP/2 stream that ends its message forbids a further call

The stream proves whose status it is. The tests of outbound, service, engine, scenario and slowstart pass. The node does not use HTTP/2.

--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -166,6 +166,9 @@
 	return Classification{control.ErrorResponse, true, false, reason("not followed, and no proof that it has not run")}
 }
 
+// EndsMessage reports whether a response with a status ends its message: it was taken, or refused for good.
+func EndsMessage(status int) bool { return classifyStatus(status, 0, false).Final }
+
 // rejectsMessage reports whether a permanent refusal is about the message and not about the endpoint. Statuses such as 400 and
 // 409 are about what was sent. Statuses such as 401 and 405 would be the answer to every message, and so count against the
 // endpoint.
--- a/internal/outbound/doubt_test.go
+++ b/internal/outbound/doubt_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"net"
+	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
+	"whinrun/control"
+	"whinrun/internal/clock"
 	"whinrun/internal/engine"
 )
 
@@ -98,3 +102,31 @@
 	tp.wantEnd(engine.Answered, 410)
 	admission.wantEvents(t, "possibly over b")
 }
+
+// Guards against a second call for a message whose response was a final status, and whose stream was reset behind it.
+func TestStreamResetBehindItsStatus(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Protocols: &protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(201)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})}
+	go func() { _ = server.Serve(ln) }()
+	defer func() { _ = server.Close() }()
+	ends := make(chan engine.Outcome, 1)
+	timeSource := clock.New()
+	pool, err := New(testConfig(), NewHTTP2(testCodec{netip.MustParseAddrPort(ln.Addr().String())}), timeSource, func(e engine.Outcome) { ends <- e })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pool.Close()
+	pool.Start([]*engine.Attempt{{Seq: 1, Message: &engine.Message{}, Endpoint: 1, Deadline: timeSource.Now() + 60*control.Second}})
+	if end := <-ends; end.Kind != engine.ResetDuringResponse || !end.PossiblyOver {
+		t.Errorf("end %+v, want one that may have ended the message", end)
+	}
+}
--- a/internal/outbound/http2.go
+++ b/internal/outbound/http2.go
@@ -87,7 +87,13 @@
 func (s *h2Session) abandon(now time.Duration, t *attemptState) {
 	s.h2conn.Reset(now, t.streamID, h2.Cancel)
 	delete(s.attempts, t.streamID)
-	s.conn.pool.reportEnd(t, engine.Outcome{Kind: t.endKind})
+	s.conn.pool.reportEnd(t, engine.Outcome{Kind: t.endKind, PossiblyOver: s.possiblyOver(t)})
+}
+
+// possiblyOver reports whether what has arrived of a response that is not complete tells that its message is over. The stream
+// proves that it belongs to the attempt.
+func (s *h2Session) possiblyOver(t *attemptState) bool {
+	return t.hasHeaders && engine.EndsMessage(s.codec.Answer(t.attempt, t.responseFields, t.responseBody).Status)
 }
 
 func (s *h2Session) connLost(kind engine.OutcomeKind, reason string) {
@@ -97,7 +103,7 @@
 		if t.hasHeaders && kind == engine.ResetBeforeResponse {
 			endKind = engine.ResetDuringResponse
 		}
-		s.conn.pool.reportEnd(t, engine.Outcome{Kind: endKind, Detail: reason})
+		s.conn.pool.reportEnd(t, engine.Outcome{Kind: endKind, Detail: reason, PossiblyOver: s.possiblyOver(t)})
 	}
 }
 
@@ -125,7 +131,9 @@
 		}
 	case h2.StreamReset:
 		delete(s.attempts, e.Stream)
-		p.reportEnd(t, resetEnd(t, e))
+		end := resetEnd(t, e)
+		end.PossiblyOver = s.possiblyOver(t)
+		p.reportEnd(t, end)
 		return
 	}
 	if e.End {
@@ -171,7 +179,7 @@
 	for id, t := range s.attempts {
 		if id > e.LastStream {
 			delete(s.attempts, id)
-			p.reportEnd(t, engine.Outcome{Kind: kind, Detail: "GOAWAY " + e.Code.String()})
+			p.reportEnd(t, engine.Outcome{Kind: kind, Detail: "GOAWAY " + e.Code.String(), PossiblyOver: s.possiblyOver(t)})
 		}
 	}
 }
