--- a/internal/outbound/doubt_test.go
+++ b/internal/outbound/doubt_test.go
@@ -130,3 +130,17 @@
 		t.Errorf("end %+v, want one that may have ended the message", end)
 	}
 }
+
+// Guards against a delivery that a drain, or a list without its endpoint, takes back: the connection is closed once it is settled.
+func TestIdleCloseWaitsForAProvisionalDelivery(t *testing.T) {
+	tp, c := startSecondCall(t)
+	defer func() { _ = c.Close() }()
+	_, _ = c.Write([]byte(okAnswer))
+	tp.wantProvisional()
+	tp.p.CloseIdle(1)
+	tp.wantEnd(engine.DeliveryConfirmed, 0)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := c.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes instead of the end of the connection", n)
+	}
+}
--- a/internal/platform/copies_test.go
+++ b/internal/platform/copies_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -154,3 +155,36 @@
 		}
 	}
 }
+
+// Guards against an end that is overlooked in an answer in doubt: the lines that have arrived count, also one that is cut off.
+func TestTellsEnd(t *testing.T) {
+	attempt := func(name string) *engine.Attempt {
+		return &engine.Attempt{Message: &engine.Message{ExternalID: name}}
+	}
+	two := outbound.HTTP1Request{Attempts: []*engine.Attempt{attempt("a"), attempt("b")}, Named: true}
+	single := outbound.HTTP1Request{Attempts: []*engine.Attempt{attempt("a")}}
+	for _, test := range []struct {
+		name    string
+		request outbound.HTTP1Request
+		status  int
+		body    string
+		want    []bool
+	}{
+		{"200", single, 200, "", []bool{true}},
+		{"410", single, 410, "it is", []bool{true}},
+		{"504", single, 504, "", []bool{true}},
+		{"503", single, 503, "", []bool{false}},
+		{"500", single, 500, "", []bool{false}},
+		{"410 for all", two, 410, "", []bool{true, true}},
+		{"lines", two, 200, "a void\r\nb busy\r\n", []bool{true, false}},
+		{"used up and failed", two, 200, "a used_up\r\nb failed\r\n", []bool{true, false}},
+		{"a line cut off in its result", two, 200, "a busy\r\nb don", []bool{false, true}},
+		{"a line cut off before its result", two, 200, "a done\r\nb ", []bool{true, false}},
+		{"a line that can't be read", two, 200, "\x16\x03\r\nb void\r\n", []bool{false, true}},
+		{"nothing", two, 200, "", []bool{false, false}},
+	} {
+		if got := (CallCodec{}).TellsEnd(test.request, test.status, []byte(test.body)); !slices.Equal(got, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
