--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -102,17 +102,25 @@
 // startSecondCall has a first call answered with 200 and starts a second one on the same connection.
 func startSecondCall(t *testing.T) (*testPool, net.Conn) {
 	t.Helper()
-	tp := newTestPool(t)
+	tp, c, _ := startCallBehind(t, nil, okAnswer)
+	return tp, c
+}
+
+// startCallBehind has a first call answered and starts a second one, of message b, on the same connection.
+func startCallBehind(t *testing.T, admission Admission, firstAnswer string) (tp *testPool, c net.Conn, call []*engine.Attempt) {
+	t.Helper()
+	tp = newTestPoolWith(t, admission)
 	tp.start("a")
-	c := tp.conn()
+	c = tp.conn()
 	tp.read(c)
-	_, _ = c.Write([]byte(okAnswer))
-	tp.wantEnd(engine.Answered, 200)
-	tp.start("b")
+	_, _ = c.Write([]byte(firstAnswer))
+	status, _ := h1.ParseStatus([]byte(firstAnswer))
+	tp.wantEnd(engine.Answered, status)
+	call = tp.start("b")
 	if got := tp.read(c); !strings.Contains(got, "/b") {
 		t.Fatalf("%q on the connection used before", got)
 	}
-	return tp, c
+	return tp, c, call
 }
 
 // Guards against a copy that ends the next call: the call's own answer counts, if it is unlike the copy. Both come in one
--- a/internal/outbound/doubt_test.go
+++ b/internal/outbound/doubt_test.go
@@ -59,15 +59,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			tp := newTestPool(t)
-			tp.start("a")
-			c := tp.conn()
+			tp, c, call := startCallBehind(t, nil, test.first)
 			defer func() { _ = c.Close() }()
-			tp.read(c)
-			_, _ = c.Write([]byte(test.first))
-			<-tp.ends
-			call := tp.start("b")
-			tp.read(c)
 			_, _ = c.Write([]byte(test.text))
 			if test.then != nil {
 				// The answer has been read before.
@@ -88,14 +81,8 @@
 // Guards against a call that another path makes for a message whose end is held: Admission is told first.
 func TestHeldEndAdmitsNoCall(t *testing.T) {
 	admission := &fakeAdmission{}
-	tp := newTestPoolWith(t, admission)
-	tp.start("a")
-	c := tp.conn()
-	tp.read(c)
-	_, _ = c.Write([]byte(overAnswer))
-	tp.wantEnd(engine.Answered, 410)
-	tp.start("b")
-	tp.read(c)
+	tp, c, _ := startCallBehind(t, admission, overAnswer)
+	defer func() { _ = c.Close() }()
 	admission.takeEvents()
 	_, _ = c.Write([]byte(overAnswer))
 	// Silence proves the answer.
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -139,16 +139,7 @@
 // An idle connection must be used again. If its peer has closed it meanwhile, the call must go to a new
 // connection, and nothing fails.
 func TestConnectionUsedAgain(t *testing.T) {
-	tp := newTestPool(t)
-	tp.start("a")
-	c := tp.conn()
-	tp.read(c)
-	_, _ = c.Write([]byte(okAnswer))
-	tp.wantEnd(engine.Answered, 200)
-	tp.start("b")
-	if got := tp.read(c); !strings.Contains(got, "/b") {
-		t.Errorf("%q on the connection used before", got)
-	}
+	tp, c := startSecondCall(t)
 	_, _ = c.Write([]byte(okAnswer))
 	tp.wantEnd(engine.Answered, 200)
 	_ = c.Close()
--- a/internal/platform/copies_test.go
+++ b/internal/platform/copies_test.go
@@ -127,13 +127,19 @@
 	}
 }
 
+// Requests of one and of two messages, for tests of the codec.
+var (
+	singleRequest = outbound.HTTP1Request{Attempts: []*engine.Attempt{attemptOf("a")}}
+	bulkRequest   = outbound.HTTP1Request{Attempts: []*engine.Attempt{attemptOf("a"), attemptOf("b")}, Named: true}
+)
+
+// attemptOf returns an attempt of a message.
+func attemptOf(name string) *engine.Attempt {
+	return &engine.Attempt{Message: &engine.Message{ExternalID: name}}
+}
+
 // Guards against an answer to an earlier call with a part of the messages that is taken for the answer to this call.
 func TestNamesOfAnAnswer(t *testing.T) {
-	attempt := func(name string) *engine.Attempt {
-		return &engine.Attempt{Message: &engine.Message{ExternalID: name}}
-	}
-	two := outbound.HTTP1Request{Attempts: []*engine.Attempt{attempt("a"), attempt("b")}, Named: true}
-	single := outbound.HTTP1Request{Attempts: []*engine.Attempt{attempt("a")}}
 	for _, test := range []struct {
 		name    string
 		request outbound.HTTP1Request
@@ -141,14 +147,14 @@
 		body    string
 		want    outbound.AnswerNames
 	}{
-		{"all", two, 200, "b done\r\na busy\r\n", outbound.NamesCall},
-		{"a part", two, 200, "a busy\r\n", outbound.NamesMissing},
-		{"others beside", two, 200, "a done\r\nb done\r\nc done\r\n", outbound.NamesMissing},
-		{"others only", two, 200, "c done\r\nd failed\r\n", outbound.NamesOthers},
-		{"unreadable", two, 200, "a done\r\nHTTP/1.1 200 x\r\n", outbound.NamesMissing},
-		{"empty", two, 200, "", outbound.NamesMissing},
-		{"refused", two, 503, "a done\r\nb done\r\n", outbound.NamesNone},
-		{"not asked for", single, 200, "a done\r\n", outbound.NamesNone},
+		{"all", bulkRequest, 200, "b done\r\na busy\r\n", outbound.NamesCall},
+		{"a part", bulkRequest, 200, "a busy\r\n", outbound.NamesMissing},
+		{"others beside", bulkRequest, 200, "a done\r\nb done\r\nc done\r\n", outbound.NamesMissing},
+		{"others only", bulkRequest, 200, "c done\r\nd failed\r\n", outbound.NamesOthers},
+		{"unreadable", bulkRequest, 200, "a done\r\nHTTP/1.1 200 x\r\n", outbound.NamesMissing},
+		{"empty", bulkRequest, 200, "", outbound.NamesMissing},
+		{"refused", bulkRequest, 503, "a done\r\nb done\r\n", outbound.NamesNone},
+		{"not asked for", singleRequest, 200, "a done\r\n", outbound.NamesNone},
 	} {
 		if got := (CallCodec{}).Names(test.request, &h1.Response{Status: test.status}, []byte(test.body)); got != test.want {
 			t.Errorf("%s: %d, want %d", test.name, got, test.want)
@@ -158,11 +164,6 @@
 
 // Guards against an end that is overlooked in an answer in doubt: the lines that have arrived count, also one that is cut off.
 func TestTellsEnd(t *testing.T) {
-	attempt := func(name string) *engine.Attempt {
-		return &engine.Attempt{Message: &engine.Message{ExternalID: name}}
-	}
-	two := outbound.HTTP1Request{Attempts: []*engine.Attempt{attempt("a"), attempt("b")}, Named: true}
-	single := outbound.HTTP1Request{Attempts: []*engine.Attempt{attempt("a")}}
 	for _, test := range []struct {
 		name    string
 		request outbound.HTTP1Request
@@ -170,18 +171,18 @@
 		body    string
 		want    []bool
 	}{
-		{"200", single, 200, "", []bool{true}},
-		{"410", single, 410, "it is", []bool{true}},
-		{"504", single, 504, "", []bool{true}},
-		{"503", single, 503, "", []bool{false}},
-		{"500", single, 500, "", []bool{false}},
-		{"410 for all", two, 410, "", []bool{true, true}},
-		{"lines", two, 200, "a void\r\nb busy\r\n", []bool{true, false}},
-		{"used up and failed", two, 200, "a used_up\r\nb failed\r\n", []bool{true, false}},
-		{"a line cut off in its result", two, 200, "a busy\r\nb don", []bool{false, true}},
-		{"a line cut off before its result", two, 200, "a done\r\nb ", []bool{true, false}},
-		{"a line that can't be read", two, 200, "\x16\x03\r\nb void\r\n", []bool{false, true}},
-		{"nothing", two, 200, "", []bool{false, false}},
+		{"200", singleRequest, 200, "", []bool{true}},
+		{"410", singleRequest, 410, "it is", []bool{true}},
+		{"504", singleRequest, 504, "", []bool{true}},
+		{"503", singleRequest, 503, "", []bool{false}},
+		{"500", singleRequest, 500, "", []bool{false}},
+		{"410 for all", bulkRequest, 410, "", []bool{true, true}},
+		{"lines", bulkRequest, 200, "a void\r\nb busy\r\n", []bool{true, false}},
+		{"used up and failed", bulkRequest, 200, "a used_up\r\nb failed\r\n", []bool{true, false}},
+		{"a line cut off in its result", bulkRequest, 200, "a busy\r\nb don", []bool{false, true}},
+		{"a line cut off before its result", bulkRequest, 200, "a done\r\nb ", []bool{true, false}},
+		{"a line that can't be read", bulkRequest, 200, "\x16\x03\r\nb void\r\n", []bool{false, true}},
+		{"nothing", bulkRequest, 200, "", []bool{false, false}},
 	} {
 		if got := (CallCodec{}).TellsEnd(test.request, test.status, []byte(test.body)); !slices.Equal(got, test.want) {
 			t.Errorf("%s: %v, want %v", test.name, got, test.want)
