Tests of answers in doubt wait until their bytes are read

TestAnswerInDoubt slept 30 ms before it gave a call up or reset its connection; beside load the answer might not have been read by then. It waits on a count of the bytes that the pool has read.

--- a/internal/outbound/doubt_test.go
+++ b/internal/outbound/doubt_test.go
@@ -14,9 +14,8 @@
 
 const overAnswer = "HTTP/1.1 410 x\r\nContent-Length: 0\r\n\r\n"
 
-// resetConn closes a connection with a TCP reset, after what was written on it has been read.
+// resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
-	time.Sleep(10 * time.Millisecond)
 	_ = c.(*net.TCPConn).SetLinger(0)
 	_ = c.Close()
 }
@@ -63,8 +62,7 @@
 			defer func() { _ = c.Close() }()
 			_, _ = c.Write([]byte(test.text))
 			if test.then != nil {
-				// The answer has been read before.
-				time.Sleep(30 * time.Millisecond)
+				tp.awaitReceived(len(test.first) + len(test.text))
 				test.then(tp, c, call)
 			}
 			end := <-tp.ends
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"whinrun/internal/clock"
 	"whinrun/internal/dialscheduler"
 	"whinrun/internal/engine"
+	"whinrun/internal/eventloop"
 	"whinrun/internal/h1"
 )
 
@@ -53,6 +55,36 @@
 	ends  chan engine.Outcome
 	seq   uint64
 	once  sync.Once
+	// received counts the bytes that the pool has read from its peer.
+	received *receivedBytes
+}
+
+// receivedBytes is eventloop.Kernel with a count of the bytes that were read from connections.
+type receivedBytes struct {
+	eventloop.Kernel
+	count atomic.Int64
+}
+
+// wakeReadSize is the size of the buffer for reads that are not from a connection.
+const wakeReadSize = 8
+
+// Read implements eventloop.System.
+func (r *receivedBytes) Read(fd int, b []byte) (int, error) {
+	n, err := r.Kernel.Read(fd, b)
+	if n > 0 && len(b) > wakeReadSize {
+		r.count.Add(int64(n))
+	}
+	return n, err
+}
+
+// awaitReceived waits until the pool has read this number of bytes. What is told to it from then on comes behind them.
+func (tp *testPool) awaitReceived(count int) {
+	tp.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); tp.received.count.Load() < int64(count); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			tp.t.Fatalf("%d bytes read, want %d", tp.received.count.Load(), count)
+		}
+	}
 }
 
 func newTestPool(t *testing.T) *testPool { return newTestPoolWith(t, nil) }
@@ -64,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tp := &testPool{t: t, clock: clock.New(), conns: make(chan net.Conn, 16), ends: make(chan engine.Outcome, 64)}
+	tp := &testPool{t: t, clock: clock.New(), conns: make(chan net.Conn, 16), ends: make(chan engine.Outcome, 64), received: &receivedBytes{}}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -74,7 +106,7 @@
 			tp.conns <- c
 		}
 	}()
-	cfg := Config{Loops: 1, MaxConnsPerEndpoint: 3, MaxStreams: 1, ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: 1000, Admission: admission,
+	cfg := Config{Loops: 1, MaxConnsPerEndpoint: 3, MaxStreams: 1, ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: 1000, Admission: admission, System: tp.received,
 		DialLimits: dialscheduler.Limits{HandshakesPerSecond: 1000, MaxHandshakes: 2, MaxConns: 3}}
 	tp.p, err = New(cfg, NewHTTP1(plainCodec{netip.MustParseAddrPort(ln.Addr().String())}), tp.clock, func(e engine.Outcome) { tp.ends <- e })
 	if err != nil {
