Soak: a factor on the rate of faults, half of the messages are delivered, and each run starts with an empty folder

Two runs delivered 74 of 301 and of 293 messages, and nothing said so: now under half of the accepted messages delivered is a violation. Trace: the folder of a run that had broken a rule was still there, and its nodes took up the last list of that run, whose version is that of the new one, with addresses of endpoints that are gone.

--- a/cmd/whinlab/soak.go
+++ b/cmd/whinlab/soak.go
@@ -17,14 +17,15 @@
 
 // soakCmd runs real dispatchers under random faults.
 type soakCmd struct {
-	Binary string        `default:"bin/whinrun" type:"existingfile" help:"The program."`
-	Seed   uint64        `default:"1" help:"The first seed: one seed gives one sequence of faults."`
-	Seeds  int           `default:"1" help:"How many seeds, one after the other."`
-	Nodes  int           `default:"24" help:"Dispatchers, a process each."`
-	For    time.Duration `default:"15s" help:"How long faults and load go on; a run ends some seconds later."`
-	Rate   float64       `default:"20" help:"Messages a second handed to each dispatcher."`
-	Faults []string      `help:"Kinds of fault. Default: all (${faults})."`
-	Keep   string        `type:"path" help:"Folder for the logs and events of runs that broke a rule."`
+	Binary    string        `default:"bin/whinrun" type:"existingfile" help:"The program."`
+	Seed      uint64        `default:"1" help:"The first seed: one seed gives one sequence of faults."`
+	Seeds     int           `default:"1" help:"How many seeds, one after the other."`
+	Nodes     int           `default:"24" help:"Dispatchers, a process each."`
+	For       time.Duration `default:"15s" help:"How long faults and load go on; a run ends some seconds later."`
+	Rate      float64       `default:"20" help:"Messages a second handed to each dispatcher."`
+	Intensity float64       `default:"1" help:"Factor on the rate of faults: with 4 and kills, a process lives for a second or two."`
+	Faults    []string      `help:"Kinds of fault. Default: all (${faults})."`
+	Keep      string        `type:"path" help:"Folder for the logs and events of runs that broke a rule."`
 }
 
 // Run runs the seeds. It fails where one of them violated a rule or it is interrupted.
@@ -42,7 +43,7 @@
 	}
 	broken := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
-		cfg := soak.Config{Binary: binary, Folder: c.Keep, Seed: seed, Nodes: c.Nodes, Duration: c.For, Rate: c.Rate, FaultKinds: c.Faults}
+		cfg := soak.Config{Binary: binary, Folder: c.Keep, Seed: seed, Nodes: c.Nodes, Duration: c.For, Rate: c.Rate, Intensity: c.Intensity, FaultKinds: c.Faults}
 		res, err := soak.Run(ctx, cfg)
 		if err != nil {
 			return err
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -25,6 +26,8 @@
 	Duration time.Duration
 	// Rate is the number of messages a second that are submitted to each dispatcher.
 	Rate float64
+	// Intensity is the factor on the rate of faults. Zero stands for 1.
+	Intensity float64
 	// FaultKinds lists the kinds of fault to use, empty for all.
 	FaultKinds []string
 }
@@ -141,7 +144,7 @@
 			names = append(names, slices.Repeat([]string{k.name}, k.weight)...)
 		}
 	}
-	count := int(faultsPerSecond * float64(c.Nodes) / 12 * c.Duration.Seconds())
+	count := int(cmp.Or(c.Intensity, 1) * faultsPerSecond * float64(c.Nodes) / 12 * c.Duration.Seconds())
 	faults := make([]Fault, max(1, count))
 	for i := range faults {
 		faults[i] = Fault{At: time.Duration(rng.Float64() * float64(c.Duration)), Kind: names[rng.IntN(len(names))], Target: rng.IntN(1 << 20),
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -81,6 +81,10 @@
 		r.cfg.Folder = folder
 	} else {
 		r.cfg.Folder = filepath.Join(cfg.Folder, fmt.Sprint("seed-", cfg.Seed))
+		// The state of an earlier run is of other endpoints, in lists of the same versions.
+		if err := os.RemoveAll(r.cfg.Folder); err != nil {
+			return nil, err
+		}
 	}
 	if err := r.startNodes(); err != nil {
 		return nil, err
@@ -393,6 +397,9 @@
 		SlowStart: &testbed.SlowStart{Capacity: spareCapacity * demand, InitialFraction: 0.5, WarmUp: 2 * time.Second, OverloadFactor: 2, OverloadWindow: 2 * time.Second, MaxAwareShare: 2. / 3}}
 }
 
+// minDelivered is the least share of the accepted messages that is delivered (the users' gate: half of what can be served).
+const minDelivered = 0.5
+
 // result checks the recorded events and returns the outcome. It removes the folder where there is no violation.
 func (r *run) result(plan []Fault) *Result {
 	events := r.testbed.Events()
@@ -414,6 +421,9 @@
 		}
 	}
 	res.Calls, res.Delivered, res.Elapsed = len(calls), len(delivered), r.watch.Elapsed()
+	if float64(res.Delivered) < minDelivered*float64(res.Accepted) {
+		res.Violations = append(res.Violations, fmt.Sprintf("only %d of %d messages are delivered", res.Delivered, res.Accepted))
+	}
 	slices.Sort(res.Violations)
 	if len(res.Violations) == 0 && r.cfg.Folder != "" {
 		_ = os.RemoveAll(r.cfg.Folder)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,7 +48,7 @@
 	copies := []string{"copies", "parts", "agent-copies", "request-copies", "reset", "hang", "drain", "kill", "stop", "crowd"}
 	doubt := []string{"over", "reset-behind", "doubt", "copies", "kill", "kill-twice", "stop-kill", "reload-stop", "pause-stop"}
 	for _, cfg := range []Config{{Seed: 3, Duration: 4 * time.Second}, {Seed: 10, Duration: 4 * time.Second}, {Seed: 21, Duration: 6 * time.Second, FaultKinds: copies},
-		{Seed: 50, Duration: 6 * time.Second, FaultKinds: doubt}} {
+		{Seed: 50, Duration: 6 * time.Second, FaultKinds: doubt, Intensity: 4}} {
 		t.Run(fmt.Sprint(cfg.Seed), func(t *testing.T) {
 			cfg.Binary, cfg.Nodes, cfg.Rate = binary, 4, 10
 			res, err := Run(context.Background(), cfg)
