Messages that end in doubt are reported in one place; an accessor that nothing calls is gone

Events print the connection and a cut, which the checker no longer reads. No decision, bound or assertion is changed; outbound, engine, safety and testbed pass.

--- a/internal/outbound/copies.go
+++ b/internal/outbound/copies.go
@@ -27,15 +27,22 @@
 	return p.answerCounts
 }
 
+// count raises a counter of the pool and of a connection's endpoint, and returns that of the endpoint.
+func (p *Pool) count(c *conn, counter func(*AnswerCounts) *uint64) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*counter(&p.answerCounts)++
+	*counter(&c.endpoint.counts)++
+	return *counter(&c.endpoint.counts)
+}
+
 // recordCopy counts and reports a copy of an answer. From now on copies are expected, from every endpoint: the cause may lie
 // between here and all of them.
 func (p *Pool) recordCopy(c *conn, now time.Duration, description string) {
 	p.mu.Lock()
 	p.lastCopyAt = now
-	p.answerCounts.Copies++
-	c.endpoint.counts.Copies++
-	count := c.endpoint.counts.Copies
 	p.mu.Unlock()
+	count := p.count(c, func(counts *AnswerCounts) *uint64 { return &counts.Copies })
 	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("copy %d of an answer, on connection %d: %s", count, c.number, description))
 }
 
@@ -66,21 +73,13 @@
 
 // recordTakenBack counts and reports a call whose answer does not count, because it may have been that of another call.
 func (p *Pool) recordTakenBack(c *conn, description string) {
-	p.mu.Lock()
-	p.answerCounts.TakenBack++
-	c.endpoint.counts.TakenBack++
-	count := c.endpoint.counts.TakenBack
-	p.mu.Unlock()
+	count := p.count(c, func(counts *AnswerCounts) *uint64 { return &counts.TakenBack })
 	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("answer %d taken back, on connection %d: %s", count, c.number, description))
 }
 
 // recordInDoubt counts and reports a message that an answer in doubt may have ended.
 func (p *Pool) recordInDoubt(c *conn, description string) {
-	p.mu.Lock()
-	p.answerCounts.EndedInDoubt++
-	c.endpoint.counts.EndedInDoubt++
-	count := c.endpoint.counts.EndedInDoubt
-	p.mu.Unlock()
+	count := p.count(c, func(counts *AnswerCounts) *uint64 { return &counts.EndedInDoubt })
 	p.cfg.ReportAnswer(c.endpoint.id, fmt.Sprintf("end %d in doubt, on connection %d: %s", count, c.number, description))
 }
 
--- a/internal/outbound/doubt.go
+++ b/internal/outbound/doubt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"time"
 
@@ -96,15 +97,14 @@
 }
 
 // reportDoubt reports the messages of the call that end because an answer in doubt may have ended them.
-func (s *h1Session) reportDoubt(reason string, possiblyOver []bool) {
-	now := s.conn.pool.elapsed()
-	for i, over := range possiblyOver {
-		if !over {
+func (s *h1Session) reportDoubt(now time.Duration, ends []engine.Outcome) {
+	for i := range ends {
+		if !ends[i].PossiblyOver {
 			continue
 		}
 		attempt := s.request.Attempts[i]
 		s.conn.pool.recordInDoubt(s.conn, fmt.Sprintf("message %s, attempt %d, called %d ms before%s: %s; it may be over, and is not called again",
-			attempt.Message.ExternalID, attempt.Number, (now-s.writtenAt).Milliseconds(), s.describeHeld(now), reason))
+			attempt.Message.ExternalID, attempt.Number, (now-s.writtenAt).Milliseconds(), s.describeHeld(now), cmp.Or(ends[i].Detail, "given up")))
 	}
 }
 
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -233,6 +233,7 @@
 // finish reports the ends of the call in flight. The slice ends has one for each of its attempts.
 func (s *h1Session) finish(ends []engine.Outcome) {
 	now := s.conn.pool.elapsed()
+	s.reportDoubt(now, ends)
 	s.history.recordCall(now, s.request.messages())
 	// The reported ends free capacity. A connection that is closing must not be assigned a call then.
 	s.conn.pool.mu.Lock()
@@ -290,7 +291,6 @@
 		}
 		s.conn.pool.mu.Unlock()
 	}
-	s.reportDoubt(reason, possiblyOver)
 	s.finish(ends)
 }
 
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -218,7 +218,6 @@
 		}
 	}
 	s.conn.pool.recordTakenBack(s.conn, reason+", messages out: "+s.request.names())
-	s.reportDoubt(reason, possiblyOver)
 	s.finish(ends)
 }
 
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -349,8 +349,9 @@
 
 // assign puts a call on a connection that has capacity, and reports whether there is one: the first one on which any answer
 // would be proven, or else the first on which a refusal would be, or else the first one. Calls that start together then share a
-// connection where they can and leave in one write. A connection that has been idle for longer than IdleTimeout is skipped, because its peer may be closing it. While
-// copies of answers are expected, a connection is skipped until its next answer is sure to be proven. Pool.mu must be held.
+// connection where they can and leave in one write. A connection that has been idle for longer than IdleTimeout is skipped,
+// because its peer may be closing it. While copies of answers are expected, a connection is skipped until its next answer is sure
+// to be proven. Pool.mu must be held.
 func (p *Pool) assign(k *call) bool {
 	now := p.clock.Now()
 	idleBefore := now - control.Time(p.cfg.IdleTimeout/time.Microsecond)
--- a/internal/platform/copies_test.go
+++ b/internal/platform/copies_test.go
@@ -107,12 +107,7 @@
 			names := d.submitSteadily(120)
 			d.bed.Await(5*time.Second, func(ev []testbed.Event) bool { return testbed.AllEnded(ev, names) })
 			d.checkRules()
-			if t.Failed() {
-				for _, e := range d.bed.Events() {
-					t.Log(e)
-				}
-				t.Log(d.logText())
-			}
+			d.logIfFailed()
 			if d.countEvents(testbed.AnswerCopied, "") == 0 {
 				t.Error("no answer was copied")
 			}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -217,6 +217,18 @@
 	return d.logBuf.String()
 }
 
+// logIfFailed logs the events and the dispatcher's log if the test has failed.
+func (d *testDispatcher) logIfFailed() {
+	d.t.Helper()
+	if !d.t.Failed() {
+		return
+	}
+	for _, e := range d.bed.Events() {
+		d.t.Log(e)
+	}
+	d.t.Log(d.logText())
+}
+
 // checkRules checks the six rules of testbed.Check against the traffic on the sockets, and that the log
 // contains no errors.
 func (d *testDispatcher) checkRules() {
--- a/internal/platform/over_test.go
+++ b/internal/platform/over_test.go
@@ -91,12 +91,7 @@
 				}
 				d.checkRules()
 				t.Logf("%d delivered, %d called, %d notices of %d", d.deliveredCount(), d.countEvents(testbed.CallReceived, ""), d.countEvents(testbed.NoticeReceived, ""), len(names))
-				if t.Failed() {
-					for _, e := range d.bed.Events() {
-						t.Log(e)
-					}
-					t.Log(d.logText())
-				}
+				d.logIfFailed()
 			})
 		}
 	}
--- a/internal/platform/syscalls_test.go
+++ b/internal/platform/syscalls_test.go
@@ -43,12 +43,7 @@
 			d.awaitEnds(names)
 			d.faulty.SetFault(nil)
 			d.checkRules()
-			if t.Failed() {
-				for _, e := range d.bed.Events() {
-					t.Log(e)
-				}
-				t.Log(d.logText())
-			}
+			d.logIfFailed()
 			if len(names) < 20 {
 				t.Errorf("only %d taken", len(names))
 			}
--- a/internal/safety/safety.go
+++ b/internal/safety/safety.go
@@ -344,18 +344,6 @@
 	return err
 }
 
-// FirstExecution returns when the first attempt that may have been executed began, and its zone. ok is false if no attempt has
-// ended as possibly executed, or if the message is unknown.
-func (g *Guard) FirstExecution(id control.MessageID) (at control.Time, zone int, ok bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	m := g.messages[id]
-	if m == nil || !m.PossiblyExecuted {
-		return 0, 0, false
-	}
-	return m.ExecutedAt, m.ExecutedZone, true
-}
-
 // AuthorizeRefusal authorizes that a message is refused, which tells its sender that submitting it again is harmless. An error
 // is a *Violation, and the message must be failed instead.
 func (g *Guard) AuthorizeRefusal(id control.MessageID) error {
--- a/internal/safety/safety_test.go
+++ b/internal/safety/safety_test.go
@@ -153,8 +153,8 @@
 	if err := g.FinishAttempt(2*s, second, 2*s, AttemptResult{Unsent: true}); !errors.Is(err, ErrAlreadyWritten) {
 		t.Errorf("written: %v", err)
 	}
-	if at, _, ok := g.FirstExecution(1); !ok || at != 2*s {
-		t.Errorf("possibly executed at %d, %v", at, ok)
+	if m := g.messages[1]; m == nil || !m.PossiblyExecuted || m.ExecutedAt != 2*s {
+		t.Errorf("possibly executed: %+v", m)
 	}
 }
 
--- a/internal/testbed/check.go
+++ b/internal/testbed/check.go
@@ -586,6 +586,12 @@
 	if e.Kind == CallReceived || e.Kind == CallAnswered || e.Kind == CallBroken || e.Kind == AnswerCopied {
 		line += fmt.Sprintf(" dest %d call %d", e.Dest, e.Call)
 	}
+	if e.Conn != 0 {
+		line += fmt.Sprintf(" on connection %d", e.Conn)
+	}
+	if e.Cut {
+		line += " cut off"
+	}
 	if e.Status != 0 {
 		line += fmt.Sprintf(" status %d", e.Status)
 	}
