review: a message taken for delivered by a copy and an orderly close is lost

Case 1: an endpoint sends an answer twice and closes the connection as idle. It takes the first place; case 1 is now 2, case 2 is 3, and the case of lost receipts, which is less grave, leaves the folder (it stays in the report).

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p bin/review
-go build -o bin/review/ ./review/standins/keyedrefusal ./review/standins/slowdiscovery ./review/standins/receiptslost
+go build -o bin/review/ ./review/standins/copyclose ./review/standins/keyedrefusal ./review/standins/slowdiscovery
--- a/review/standins/keyedrefusal/main.go
+++ b/review/standins/keyedrefusal/main.go
@@ -1,4 +1,4 @@
-// Command keyedrefusal plays review case 1: a partner takes calls, runs them and answers none for a while; the sender of a keyed
+// Command keyedrefusal plays review case 2: a partner takes calls, runs them and answers none for a while; the sender of a keyed
 // message does what the dispatcher's refusal tells it.
 package main
 
--- a/review/standins/slowdiscovery/main.go
+++ b/review/standins/slowdiscovery/main.go
@@ -1,4 +1,4 @@
-// Command slowdiscovery plays review case 2: a new configuration names another discovery, which is slow. By its list an endpoint is
+// Command slowdiscovery plays review case 3: a new configuration names another discovery, which is slow. By its list an endpoint is
 // gone, and a new one, which serves another destination, sits at its address.
 package main
 
