--- a/review/standins/copyclose/main.go
+++ b/review/standins/copyclose/main.go
@@ -21,7 +21,7 @@
 	// work is how long the endpoint works on a call.
 	work = 60 * time.Millisecond
 	// behind is how long behind its answer the copy comes. The connection is closed with it.
-	behind = 3 * time.Millisecond
+	behind = 10 * time.Millisecond
 	// clump is how many messages are handed in at once, and pause is the time between clumps.
 	clump, pause = 4, time.Second
 	// clumps is the number of clumps.
