--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -272,9 +272,9 @@
 	finished := s.finishFromStatus()
 	// A peer that closes an idle connection in order has answered all calls.
 	if s.call == nil && s.conn.closedInOrder && !s.provisional.surplus && !s.conn.pool.copiesExpected(s.conn.pool.elapsed()) {
-		s.settleProvisional(engine.DeliveryConfirmed)
+		s.settleProvisional(engine.DeliveryConfirmed, "orderly close: "+reason)
 	} else {
-		s.settleProvisional(engine.DeliveryRetracted)
+		s.settleProvisional(engine.DeliveryRetracted, "connection lost: "+reason)
 	}
 	if finished || s.call == nil {
 		return
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -104,7 +104,7 @@
 		}
 		return
 	}
-	s.settleProvisional(engine.DeliveryConfirmed)
+	s.settleProvisional(engine.DeliveryConfirmed, "silence")
 	p := s.conn.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -117,12 +117,15 @@
 func (s *h1Session) retractProvisional() {
 	s.closing = true
 	s.conn.netConn.CloseBoth()
-	s.settleProvisional(engine.DeliveryRetracted)
+	s.settleProvisional(engine.DeliveryRetracted, "the connection is out of step, or may be")
 }
 
-// settleProvisional reports the end of all provisional answers.
-func (s *h1Session) settleProvisional(kind engine.OutcomeKind) {
+// settleProvisional reports the end of all provisional answers, for a reason that the trace tells.
+func (s *h1Session) settleProvisional(kind engine.OutcomeKind, reason string) {
+	now := s.conn.pool.elapsed()
 	for _, a := range s.provisional.take() {
+		s.conn.pool.cfg.Trace("endpoint %d: delivery of message %s by attempt %d, on connection %d, confirmed %v, %d ms behind the first that was provisional: %s",
+			s.conn.endpoint.id, a.Message.ExternalID, a.Number, s.conn.number, kind == engine.DeliveryConfirmed, (now - s.provisional.since).Milliseconds(), reason)
 		if kind == engine.DeliveryRetracted {
 			s.conn.pool.recordTakenBack(s.conn, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
 		}
@@ -142,7 +145,7 @@
 	if s.provisional.pending() && s.provisional.surplus {
 		s.retractProvisional()
 	}
-	s.settleProvisional(engine.DeliveryConfirmed)
+	s.settleProvisional(engine.DeliveryConfirmed, "a proven answer to a later call")
 	// The call may still be out if its answer is malformed.
 	if slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.Kind == engine.ProtocolError }) {
 		s.closing = true
@@ -202,7 +205,7 @@
 	for i := range ends {
 		ends[i].At = control.Time(s.held.arrivedAt / time.Microsecond)
 	}
-	s.settleProvisional(engine.DeliveryConfirmed)
+	s.settleProvisional(engine.DeliveryConfirmed, "silence behind the answer to a later call")
 	s.finish(ends)
 }
 
