engine: a delivery that nothing proves is named so (DeliveryUnproven)

DeliveryRetracted told of an answer that is taken back, with its connection closed. What it means for a message is that nothing proves its delivery, with or without a sign of another answer. Names and comments only; the tests of outbound and engine pass.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -548,7 +548,7 @@
 
 // handleOutcome handles the end of an attempt. If the outcome is final, the message is answered immediately.
 func (c *Core) handleOutcome(outcome *Outcome) {
-	if outcome.Kind == DeliveryConfirmed || outcome.Kind == DeliveryRetracted {
+	if outcome.Kind == DeliveryConfirmed || outcome.Kind == DeliveryUnproven {
 		c.settleDelivery(outcome)
 		return
 	}
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -63,9 +63,9 @@
 	// DeliveryConfirmed follows an outcome with Provisional set: the response was that of the attempt.
 	DeliveryConfirmed
 
-	// DeliveryRetracted follows an outcome with Provisional set: the response may be that of another attempt, and the
-	// connection was closed. The message may be over, and gets no further attempt.
-	DeliveryRetracted
+	// DeliveryUnproven follows an outcome with Provisional set: nothing proves that the response was that of the attempt. The
+	// message may be over, and gets no further attempt.
+	DeliveryUnproven
 )
 
 // nothingWritten reports whether the outcome means that nothing of the attempt was written.
@@ -89,7 +89,7 @@
 	PossiblyOver bool
 
 	// Provisional is set for a response that delivers the message unless it is that of another attempt. A second outcome
-	// follows, which is DeliveryConfirmed or DeliveryRetracted.
+	// follows, which is DeliveryConfirmed or DeliveryUnproven.
 	Provisional bool
 }
 
--- a/internal/engine/provisional_test.go
+++ b/internal/engine/provisional_test.go
@@ -34,12 +34,12 @@
 	}
 }
 
-// TestDeliveryRetracted checks that a message whose delivery is taken back is not called again, whatever its class, and fails at
+// TestDeliveryUnproven checks that a message whose delivery is not proven is not called again, whatever its class, and fails at
 // once.
-func TestDeliveryRetracted(t *testing.T) {
+func TestDeliveryUnproven(t *testing.T) {
 	for class := range settings().Classes {
 		b, c, seq := deliverProvisionally(t, class)
-		c.Round(2*control.Second+300*control.Millisecond, []Input{{Outcome: &Outcome{Seq: seq, Kind: DeliveryRetracted}}})
+		c.Round(2*control.Second+300*control.Millisecond, []Input{{Outcome: &Outcome{Seq: seq, Kind: DeliveryUnproven}}})
 		b.want(t, "over m1 true", "final m1 failed")
 		for now, ok := c.NextTimer(); ok && now < 4*control.Second; now, ok = c.NextTimer() {
 			c.Round(now, nil)
@@ -56,7 +56,7 @@
 	b, c, seq := deliverProvisionally(t, 0)
 	c.Round(3*control.Second, []Input{{Withdraw: 1}})
 	b.take()
-	c.Round(4*control.Second, []Input{{Outcome: &Outcome{Seq: seq, Kind: DeliveryRetracted}}})
+	c.Round(4*control.Second, []Input{{Outcome: &Outcome{Seq: seq, Kind: DeliveryUnproven}}})
 	b.want(t)
 }
 
--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -175,7 +175,7 @@
 			_, _ = c.Write([]byte(okAnswer))
 			tp.wantProvisional()
 			end(c)
-			tp.wantEnd(engine.DeliveryRetracted, 0)
+			tp.wantEnd(engine.DeliveryUnproven, 0)
 			if n := tp.p.AnswerCounts().TakenBack; n != 1 {
 				t.Errorf("%d deliveries counted", n)
 			}
@@ -317,7 +317,7 @@
 	tp.read(c)
 	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-"))
 	_ = c.Close()
-	tp.wantEnd(engine.DeliveryRetracted, 0)
+	tp.wantEnd(engine.DeliveryUnproven, 0)
 	tp.wantEnd(engine.ResetBeforeResponse, 0)
 }
 
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -274,7 +274,7 @@
 	if s.call == nil && s.conn.closedInOrder && !s.provisional.surplus && !s.conn.pool.copiesExpected(s.conn.pool.elapsed()) {
 		s.settleProvisional(engine.DeliveryConfirmed, "orderly close: "+reason)
 	} else {
-		s.settleProvisional(engine.DeliveryRetracted, "connection lost: "+reason)
+		s.settleProvisional(engine.DeliveryUnproven, "connection lost: "+reason)
 	}
 	if finished || s.call == nil {
 		return
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -117,7 +117,7 @@
 func (s *h1Session) retractProvisional() {
 	s.closing = true
 	s.conn.netConn.CloseBoth()
-	s.settleProvisional(engine.DeliveryRetracted, "the connection is out of step, or may be")
+	s.settleProvisional(engine.DeliveryUnproven, "the connection is out of step, or may be")
 }
 
 // settleProvisional reports the end of all provisional answers, for a reason that the trace tells.
@@ -126,7 +126,7 @@
 	for _, a := range s.provisional.take() {
 		s.conn.pool.cfg.Trace("endpoint %d: delivery of message %s by attempt %d, on connection %d, confirmed %v, %d ms behind the first that was provisional: %s",
 			s.conn.endpoint.id, a.Message.ExternalID, a.Number, s.conn.number, kind == engine.DeliveryConfirmed, (now - s.provisional.since).Milliseconds(), reason)
-		if kind == engine.DeliveryRetracted {
+		if kind == engine.DeliveryUnproven {
 			s.conn.pool.recordTakenBack(s.conn, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
 		}
 		s.conn.pool.report(engine.Outcome{Seq: a.Seq, Kind: kind})
