An orderly close of a connection proves no delivery

Cause: a 200 like the one before on its connection ends its call provisionally, since it may be a copy. connLost (internal/outbound/http1.go) confirmed it when the peer had closed in order and no call was out. No call was out for this side only: the close may have left before the peer read the call, which then was never read. Closed (conn.go) also took a close by this side for the peer's.

Change: no end of a connection confirms anything. This works under both readings: if the answer was its own, nothing is sent twice; if it was a copy, the notice is its one end.

The stand-in can close idle connections, with a copy right before, and the proxy has a latency.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -95,9 +95,7 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		reason = err.Error()
 	}
-	c := netConn.Context.(*conn)
-	c.closedInOrder = err == nil || errors.Is(err, io.EOF)
-	c.remove(engine.ResetBeforeResponse, reason)
+	netConn.Context.(*conn).remove(engine.ResetBeforeResponse, reason)
 }
 
 // remove takes a connection out of its pool and ends all attempts that are in flight on it. Calls that were never
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -270,12 +270,8 @@
 func (s *h1Session) connLost(kind engine.OutcomeKind, reason string) {
 	s.closing = true
 	finished := s.finishFromStatus()
-	// A peer that closes an idle connection in order has answered all calls.
-	if s.call == nil && s.conn.closedInOrder && !s.provisional.surplus && !s.conn.pool.copiesExpected(s.conn.pool.elapsed()) {
-		s.settleProvisional(engine.DeliveryConfirmed, "orderly close: "+reason)
-	} else {
-		s.settleProvisional(engine.DeliveryUnproven, "connection lost: "+reason)
-	}
+	// An orderly close proves nothing: the peer may have closed before it read the last call.
+	s.settleProvisional(engine.DeliveryUnproven, "connection lost: "+reason)
 	if finished || s.call == nil {
 		return
 	}
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -238,8 +238,6 @@
 	number uint64
 	// session is used on the connection's event loop only.
 	session session
-	// closedInOrder is set when the peer has closed the connection without an error. It is used on the event loop only.
-	closedInOrder bool
 
 	// commands are the orders that the event loop has not executed yet. This field and those below are guarded by
 	// Pool.mu.
--- a/internal/testbed/endpoint.go
+++ b/internal/testbed/endpoint.go
@@ -46,6 +46,11 @@
 	Over []string
 	// BreakAt is the number of bytes of the answer after which the connection is reset, 0 for a whole answer.
 	BreakAt int
+	// CloseIdleAfter is the time from the answer until the connection is closed in order, unless a further call has begun to arrive by
+	// then. It is 0 if the connection stays open.
+	CloseIdleAfter time.Duration
+	// CopyAtClose sends the answer again right before the close by CloseIdleAfter.
+	CopyAtClose bool
 	// ResetAfter is the time from the answer until the connection is reset, 0 if it is not. With BreakAt it is at least resetDelay.
 	ResetAfter time.Duration
 }
@@ -156,6 +161,8 @@
 	net.Conn
 	// number numbers the connections of a test bed from 1.
 	number int
+	// idle tells how the connection is closed if no further call comes. It is nil while it is to stay open.
+	idle *idleClose
 }
 
 // serve answers the requests of a connection one after the other.
@@ -181,7 +188,38 @@
 		if !e.serveCall(c, r, body) {
 			return
 		}
+		if c.idle != nil && len(buffered) == 0 {
+			if buffered = e.awaitFurtherCall(c); buffered == nil {
+				return
+			}
+		}
+	}
+}
+
+// idleClose is what an endpoint does with a connection that carries no further call.
+type idleClose struct {
+	after time.Duration
+	// finalCopy is sent before the close.
+	finalCopy string
+	// call is the last call.
+	call Call
+}
+
+// awaitFurtherCall returns the first bytes of a further call, or nil if the connection is to be closed because there is none.
+func (e *Endpoint) awaitFurtherCall(c *endpointConn) []byte {
+	idle := c.idle
+	c.idle = nil
+	first := make([]byte, 32<<10)
+	_ = c.SetReadDeadline(clock.After(idle.after))
+	n, err := c.Read(first)
+	_ = c.SetReadDeadline(time.Time{})
+	switch {
+	case n > 0:
+		return first[:n]
+	case errors.Is(err, os.ErrDeadlineExceeded) && idle.finalCopy != "":
+		e.sendCopy(c, idle.finalCopy, Copy{}, idle.call)
 	}
+	return nil
 }
 
 // readRequest reads one request with its body. It returns the bytes read beyond the request as rest.
@@ -263,6 +301,12 @@
 	if _, err := io.WriteString(c, text+reply.TrailingBytes); err != nil {
 		return false
 	}
+	if reply.CloseIdleAfter > 0 {
+		c.idle = &idleClose{after: reply.CloseIdleAfter, call: call}
+		if reply.CopyAtClose {
+			c.idle.finalCopy = text
+		}
+	}
 	for _, answerCopy := range reply.Copies {
 		time.AfterFunc(answerCopy.After, func() { e.sendCopy(c, text, answerCopy, call) })
 	}
--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"whinrun/internal/clock"
 	"whinrun/internal/loopback"
 )
 
@@ -25,6 +26,8 @@
 	ln    net.Listener
 	conns map[*proxiedConn]bool
 	state networkState
+	// latency is the time that bytes take each way.
+	latency time.Duration
 	// stateChanged is closed and replaced when the state changes.
 	stateChanged chan struct{}
 }
@@ -112,40 +115,87 @@
 // readAhead is the largest number of chunks, of up to 4 KiB, that are read before the other side takes them.
 const readAhead = 64
 
+// chunk is what one read returned, and when it arrives at the other side. The last one has no data.
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
 // copyBytes copies bytes one way until either side ends. With deliverPending set, bytes read before the end still pass:
 // what an endpoint wrote is delivered, what a dispatcher wrote before it gave up is not.
 func (p *Proxy) copyBytes(dst, src net.Conn, conn *proxiedConn, deliverPending bool) {
 	defer conn.close()
-	queue := make(chan []byte, readAhead)
+	latency := p.currentLatency()
+	queue := make(chan chunk, readAhead)
 	go func() {
 		defer close(queue)
 		for {
 			buf := make([]byte, 4<<10)
 			n, err := src.Read(buf)
-			if n > 0 {
-				select {
-				case queue <- buf[:n]:
-				case <-conn.closed:
-					return
-				}
+			if n > 0 && !conn.enqueue(queue, chunk{clock.After(latency), buf[:n]}) {
+				return
 			}
 			if err != nil {
 				if !deliverPending {
 					conn.close()
-				} else if errors.Is(err, syscall.ECONNRESET) {
+					return
+				}
+				if errors.Is(err, syscall.ECONNRESET) {
 					conn.endpointReset.Store(true)
 				}
+				conn.enqueue(queue, chunk{due: clock.After(latency)})
 				return
 			}
 		}
 	}()
-	for b := range queue {
-		if !p.send(dst, b, conn) {
+	for c := range queue {
+		if !conn.wait(c.due) || !p.send(dst, c.data, conn) {
+			// What the endpoint sent before is still on its way.
+			conn.wait(clock.After(latency))
 			return
 		}
 	}
 }
 
+// enqueue adds a chunk to a queue. It returns false when the connection has ended.
+func (p *proxiedConn) enqueue(queue chan<- chunk, c chunk) bool {
+	select {
+	case queue <- c:
+		return true
+	case <-p.closed:
+		return false
+	}
+}
+
+// wait waits until a time. It returns false when the connection has ended before.
+func (p *proxiedConn) wait(until time.Time) bool {
+	left := until.Sub(clock.Wall())
+	if left <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(left):
+		return true
+	case <-p.closed:
+		return false
+	}
+}
+
+// SetLatency sets the time that bytes take each way, in order, on connections that are opened from now on. An end of the
+// connection by the endpoint takes as long; one by the dispatcher is seen at once.
+func (p *Proxy) SetLatency(latency time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.latency = latency
+}
+
+// currentLatency returns the time that bytes take each way.
+func (p *Proxy) currentLatency() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.latency
+}
+
 // send writes data as the network's state allows. It returns false when the connection has ended.
 func (p *Proxy) send(dst net.Conn, data []byte, conn *proxiedConn) bool {
 	for len(data) > 0 {
