Silence proves no delivery, and a message not proven by then ends in its time

And a delivery taken back late got its notice up to 1.7 s after its time (TestUnprovenDeliveryEndsInTime), which counts as lost from 0.3 s on.

Cause: settleProvisionalAfterSilence (internal/outbound/http1answers.go) confirmed provisional deliveries once the connection was silent. Silence has two readings: the answer was the call's own, or a copy, and the call was never read or hangs. It also freed the connection of doubt: the late answer to that call then looked like a proven one of the next call. And nothing compared the time of the silence, up to 2 s and up to 3 s with calls in between, with the deadlines.

Change: silence only ends the wait for a proof. The message may be over, is not called again, and ends by its notice, at its deadline at the latest. The connection is used further, but nothing that comes on it without names has a proof from then on: the answer may be the late one (provisionalAnswers.inDoubt). While copies are expected such a connection is closed. A refusal behind it ends its call as possibly executed, behind its connection. Nothing is called behind what may be over, and nothing runs twice under either reading.

Tests: TestSilenceProvesNoDelivery, TestUnprovenDeliveryEndsInTime and TestCopyAndSilenceBehindAnAnswer failed before. TestEqualAnswersInARow, TestDeliveryIsSettledWhenAnswersSlowDown, TestDeliveryIsSettledWhileTheNextCallIsOut, TestIdleCloseWaitsForAProvisionalDelivery and TestRefusalBehindAProvisionalDelivery asserted the confirmation by silence, the fault itself; they now ask for an unproven end at the same point, and the last for a closed connection as well.

--- a/internal/outbound/attribution.go
+++ b/internal/outbound/attribution.go
@@ -197,11 +197,11 @@
 	return len(h.answers) == maxHistory || slices.ContainsFunc(h.answers, func(a pastAnswer) bool { return a.id == id })
 }
 
-// attribute decides whether an answer belongs to the call that is out. The digest of the call's messages is messages. While
-// the answer to an earlier call is provisional, this answer may be the true one of that call.
-func (h *answerHistory) attribute(now time.Duration, id answerID, names AnswerNames, messages uint64, provisional bool) attribution {
+// attribute decides whether an answer belongs to the call that is out. The digest of the call's messages is messages. With inDoubt
+// set, the answer to an earlier call is not proven, and this one may be the true one of that call.
+func (h *answerHistory) attribute(now time.Duration, id answerID, names AnswerNames, messages uint64, inDoubt bool) attribution {
 	h.forget(now)
-	mayBeCopy := provisional || h.mayBeCopy(now, id)
+	mayBeCopy := inDoubt || h.mayBeCopy(now, id)
 	repeated := len(h.calls) == maxHistory || slices.ContainsFunc(h.calls, func(c pastCall) bool { return c.messages == messages })
 	switch {
 	case names == NamesCall && !repeated:
@@ -218,9 +218,8 @@
 	return belongsToCall
 }
 
-// settleTime is how long the connection must be silent until an unproven answer counts, as a multiple of the slowest answer
-// of the endpoint, between two bounds. If the answer was a copy, the one to the call is still to come, and takes about as
-// long as others did.
+// settleTime is how long the connection must be silent until an unproven answer is given up, as a multiple of the slowest answer
+// of the endpoint, between two bounds. If the answer was a copy, the one to the call is likely to come within that time.
 type settleTime struct {
 	factor   float64
 	min, max time.Duration
@@ -242,8 +241,11 @@
 // settled.
 const maxProvisionalTime = time.Second
 
-// provisionalAnswers are the answers of a connection that count unless a copy shows up behind them. If one of them was a
-// copy, all answers after it belong to the calls before theirs, and there is one answer more than calls.
+// provisionalAnswers are the answers of a connection that deliver messages unless they are copies. If one of them was a copy, all
+// answers after it belong to the calls before theirs, and there is one answer more than calls.
+//
+// Only an answer that names its call proves them. Silence, or an end of the connection, does not: a call whose answer seems to have
+// come may never have been read, or may be answered later.
 type provisionalAnswers struct {
 	// attempts holds the attempts that were answered.
 	attempts []*engine.Attempt
@@ -251,6 +253,8 @@
 	since time.Duration
 	// surplus is set when an answer came that belongs to no call, or to an earlier one.
 	surplus bool
+	// unproven is set once answers were given up without a proof. Their calls may still be answered on the connection.
+	unproven bool
 }
 
 // add adds the answer to an attempt.
@@ -264,15 +268,29 @@
 // pending reports whether there are provisional answers.
 func (p *provisionalAnswers) pending() bool { return len(p.attempts) > 0 }
 
+// inDoubt reports whether the next answer on the connection may be that of an earlier call than the one that is out.
+func (p *provisionalAnswers) inDoubt() bool { return p.pending() || p.unproven }
+
 // overdue reports whether the connection has to rest until the answers are settled.
 func (p *provisionalAnswers) overdue(now time.Duration) bool {
 	return p.pending() && now-p.since > maxProvisionalTime
 }
 
-// take removes and returns the attempts.
-func (p *provisionalAnswers) take() []*engine.Attempt {
+// deadline returns when the first of the messages has to have its end, or ok false if there are no answers.
+func (p *provisionalAnswers) deadline() (at time.Duration, ok bool) {
+	for i, a := range p.attempts {
+		if end := time.Duration(a.MessageDeadline) * time.Microsecond; i == 0 || end < at {
+			at = end
+		}
+	}
+	return at, p.pending()
+}
+
+// take removes and returns the attempts. If they are not proven, the connection stays in doubt.
+func (p *provisionalAnswers) take(proven bool) []*engine.Attempt {
 	attempts := p.attempts
 	p.attempts = nil
+	p.unproven = !proven && (p.unproven || len(attempts) > 0)
 	return attempts
 }
 
--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"whinrun/control"
 	"whinrun/internal/engine"
 	"whinrun/internal/h1"
 )
@@ -134,19 +135,54 @@
 	}
 }
 
-// A delivery by an answer like the one before is provisional. It is confirmed once the connection was silent for long
-// enough, and the connection is used further.
-func TestEqualAnswersInARow(t *testing.T) {
+// Guards against a message that is lost behind a copy whose call is never answered: silence proves no delivery. The connection is
+// used further, and what comes on it later has no proof, either, since it may be the answer that was not there in time.
+func TestSilenceProvesNoDelivery(t *testing.T) {
 	tp, c := startSecondCall(t)
 	_, _ = c.Write([]byte(okAnswer))
 	tp.wantProvisional()
-	tp.wantEnd(engine.DeliveryConfirmed, 0)
+	tp.wantEnd(engine.DeliveryUnproven, 0)
 	tp.start("c")
 	if got := tp.read(c); !strings.Contains(got, "/c") {
 		t.Errorf("%q on the connection used before", got)
 	}
+	_, _ = c.Write([]byte(busyAnswer))
+	tp.wantEnd(engine.UnprovenAnswer, 0)
+	tp.wantClosed(c)
+}
+
+// Guards against a notice that comes after the time of its message: a delivery that is not proven by then ends unproven,
+// however long the endpoint's answers take.
+func TestUnprovenDeliveryEndsInTime(t *testing.T) {
+	tp := newTestPool(t)
+	tp.start("a")
+	c := tp.conn()
+	tp.read(c)
+	_, _ = c.Write([]byte(okAnswer))
+	tp.wantEnd(engine.Answered, 200)
+	tp.p.mu.Lock()
+	endpoint := tp.p.endpoints[1]
+	tp.p.mu.Unlock()
+	tp.p.recordLatency(endpoint, provisionalTime.max)
+	// lostAfter is when a message without an end is lost (protocol page).
+	const left, lostAfter = 300 * control.Millisecond, 300 * control.Millisecond
+	call := tp.startWithin(left, "b")
+	tp.read(c)
 	_, _ = c.Write([]byte(okAnswer))
 	tp.wantProvisional()
+	tp.wantEnd(engine.DeliveryUnproven, 0)
+	if late := tp.clock.Now() - call[0].MessageDeadline; late > lostAfter {
+		t.Errorf("%d ms after the time of the message", late/control.Millisecond)
+	}
+}
+
+// wantClosed expects the end of a connection, and no bytes before it.
+func (tp *testPool) wantClosed(c net.Conn) {
+	tp.t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := c.Read(make([]byte, 1)); err == nil {
+		tp.t.Errorf("%d bytes instead of the end of the connection", n)
+	}
 }
 
 // Guards against a message that is lost behind a copy, because an orderly close of the connection counted as proof that its call
@@ -201,7 +237,8 @@
 	}
 }
 
-// A refusal behind a provisional delivery is held, because it may be the answer to the call before. Silence proves both.
+// Guards against a message that runs twice, because a refusal behind a provisional delivery counted for the later call once the
+// connection was silent: it may be the answer to the call before.
 func TestRefusalBehindAProvisionalDelivery(t *testing.T) {
 	tp, c := startSecondCall(t)
 	_, _ = c.Write([]byte(okAnswer))
@@ -209,8 +246,9 @@
 	tp.start("c")
 	tp.read(c)
 	_, _ = c.Write([]byte(busyAnswer))
-	tp.wantEnd(engine.DeliveryConfirmed, 0)
-	tp.wantEnd(engine.Answered, 503)
+	tp.wantEnd(engine.DeliveryUnproven, 0)
+	tp.wantEnd(engine.UnprovenAnswer, 0)
+	tp.wantClosed(c)
 }
 
 // Guards against a conclusion from answers that do not tell which is the copy: the call has ended as possibly executed, and
@@ -273,7 +311,7 @@
 	endpoint := tp.p.endpoints[1]
 	tp.p.mu.Unlock()
 	tp.p.recordLatency(endpoint, provisionalTime.max)
-	tp.wantEnd(engine.DeliveryConfirmed, 0)
+	tp.wantEnd(engine.DeliveryUnproven, 0)
 }
 
 // Guards against an alarm for a malformed answer, which is no sign of copies; an answer in the midst of another one is.
@@ -339,15 +377,14 @@
 	tp.wantEnd(engine.ResetBeforeResponse, 0)
 }
 
-// Guards against a delivery that is taken back with the connection of a later call, long after its answer: silence settles it
-// while that call is out, too. If the answer had been a copy, the true one would have come meanwhile.
+// Guards against a notice that waits for the end of a later call: a provisional delivery ends while that call is out, too.
 func TestDeliveryIsSettledWhileTheNextCallIsOut(t *testing.T) {
 	tp, c := startSecondCall(t)
 	_, _ = c.Write([]byte(okAnswer))
 	tp.wantProvisional()
 	tp.start("c")
 	tp.read(c)
-	tp.wantEnd(engine.DeliveryConfirmed, 0)
+	tp.wantEnd(engine.DeliveryUnproven, 0)
 	_ = c.Close()
 	tp.wantEnd(engine.ResetBeforeResponse, 0)
 }
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -332,9 +332,14 @@
 	for c := range p.monitored {
 		c.netConn.Wake()
 	}
-	// A connection may have become provable.
+	// A connection may have become provable. One that never does is of no use.
 	if p.expectsCopies(p.elapsed()) {
 		for _, s := range p.endpoints {
+			for _, c := range s.conns {
+				if c.provableAt == neverProvable {
+					c.closeIdle()
+				}
+			}
 			if len(s.pending) > 0 {
 				p.assignPending(s)
 				p.requestConn(s)
--- a/internal/outbound/doubt_test.go
+++ b/internal/outbound/doubt_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/netip"
 	"testing"
-	"time"
 
 	"whinrun/control"
 	"whinrun/internal/clock"
@@ -123,9 +122,9 @@
 	_, _ = c.Write([]byte(okAnswer))
 	tp.wantProvisional()
 	tp.p.CloseIdle(1)
-	tp.wantEnd(engine.DeliveryConfirmed, 0)
-	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
-	if n, err := c.Read(make([]byte, 1)); err == nil {
-		t.Errorf("%d bytes instead of the end of the connection", n)
+	tp.wantEnd(engine.DeliveryUnproven, 0)
+	tp.wantClosed(c)
+	if n := tp.p.AnswerCounts().TakenBack; n != 0 {
+		t.Errorf("%d deliveries taken back", n)
 	}
 }
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -127,7 +128,7 @@
 	held *heldAnswer
 	// provisional are the answers to earlier calls that are not proven yet.
 	provisional provisionalAnswers
-	// settleAt is when held or provisional answers count, if the connection is silent until then.
+	// settleAt is when held or provisional answers are given up, if nothing that proves them comes before.
 	settleAt time.Duration
 }
 
@@ -178,7 +179,7 @@
 // proven: a delivery looks like the one before, and copies of any answer may follow. With one it settles the provisional
 // deliveries before it.
 func (s *h1Session) needsName(now time.Duration, a *engine.Attempt) bool {
-	return s.provisional.pending() || s.conn.pool.copiesExpected(now) || s.history.deliveredUnnamed(now) || a.Message.OrderKey != 0 && !s.history.quiet(now)
+	return s.provisional.inDoubt() || s.conn.pool.copiesExpected(now) || s.history.deliveredUnnamed(now) || a.Message.OrderKey != 0 && !s.history.quiet(now)
 }
 
 // resetResponse prepares for reading the next response.
@@ -218,7 +219,7 @@
 // finishFromStatus ends the call by the status code of its response, and reports whether that decides it. It does not if
 // the status line may be that of a copy. The connection is closed then, because the rest of the response is not read.
 func (s *h1Session) finishFromStatus() bool {
-	if s.call == nil || s.status == 0 || s.held != nil || s.provisional.pending() || s.history.hasStatus(s.conn.pool.elapsed(), s.status) {
+	if s.call == nil || s.status == 0 || s.held != nil || s.provisional.inDoubt() || s.history.hasStatus(s.conn.pool.elapsed(), s.status) {
 		return false
 	}
 	end, ok := s.codec.EndFromStatus(s.request, s.status)
@@ -238,8 +239,7 @@
 	// The reported ends free capacity. A connection that is closing must not be assigned a call then.
 	s.conn.pool.mu.Lock()
 	s.conn.usable = s.conn.usable && !s.closing
-	s.conn.provableAt = s.provableAt()
-	s.conn.doubtfulUntil = control.Time(s.doubtfulUntil() / time.Microsecond)
+	s.updateProofTimes()
 	s.conn.settling = s.provisional.overdue(now)
 	s.conn.pool.mu.Unlock()
 	attempts := s.attempts
@@ -250,28 +250,39 @@
 	}
 }
 
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
+// updateProofTimes tells the pool from when on answers on the connection are proven. Pool.mu must be held.
+func (s *h1Session) updateProofTimes() {
+	s.conn.provableAt = control.Time(s.provableAt() / time.Microsecond)
+	s.conn.doubtfulUntil = control.Time(s.doubtfulUntil() / time.Microsecond)
+}
+
 // provableAt returns the time from which the answer to the next call is sure to be proven. Names are of no use if they
-// come behind a part of another answer. Pool.mu must be held.
-func (s *h1Session) provableAt() control.Time {
+// come behind a part of another answer, and without them nothing is proven behind an answer that is not. Pool.mu must be held.
+func (s *h1Session) provableAt() time.Duration {
 	named := s.canName && !isRecent(s.conn.endpoint.lastPartAt, s.conn.pool.elapsed())
-	return control.Time(s.history.provableAt(named) / time.Microsecond)
+	if s.provisional.inDoubt() && !named {
+		return never
+	}
+	return s.history.provableAt(named)
 }
 
 // doubtfulUntil returns until when a refusal on the connection would not be proven: it would look like an earlier one, or might
-// belong to a call whose delivery is provisional.
+// belong to a call whose delivery is not proven.
 func (s *h1Session) doubtfulUntil() time.Duration {
-	until := s.history.refusedUntil()
-	if s.provisional.pending() {
-		until = max(until, s.settleAt)
+	if s.provisional.inDoubt() {
+		return never
 	}
-	return until
+	return s.history.refusedUntil()
 }
 
 func (s *h1Session) connLost(kind engine.OutcomeKind, reason string) {
 	s.closing = true
 	finished := s.finishFromStatus()
 	// An orderly close proves nothing: the peer may have closed before it read the last call.
-	s.settleProvisional(engine.DeliveryUnproven, "connection lost: "+reason)
+	s.settleProvisional(takenBack, "connection lost: "+reason)
 	if finished || s.call == nil {
 		return
 	}
@@ -290,14 +301,14 @@
 	s.finish(ends)
 }
 
-// checkDeadlines ends a call whose status code decides it and whose body has not arrived within bodyTimeout, and one
-// whose unproven answer has been followed by silence for long enough.
+// checkDeadlines ends a call whose status code decides it and whose body has not arrived within bodyTimeout, and gives up answers
+// that nothing has proven in time.
 func (s *h1Session) checkDeadlines(now time.Duration) error {
 	switch {
 	case s.held != nil && now >= s.settleAt:
 		s.settle(now)
-	case s.provisional.pending() && now >= s.settleAt && s.status == 0 && len(s.inBuffer) == 0:
-		s.settleProvisionalAfterSilence(now)
+	case s.provisional.pending() && now >= s.settleAt:
+		s.giveUpProvisional(now)
 	case s.head != nil && now-s.headAt > bodyTimeout && !s.finishFromStatus() && !s.request.Named && s.possiblyOver()[0]:
 		s.finishUnproven("the body of its answer does not come")
 	}
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -121,9 +121,15 @@
 
 // start starts a call with one attempt for each name, all to endpoint 1.
 func (tp *testPool) start(names ...string) (call []*engine.Attempt) {
+	return tp.startWithin(20*control.Second, names...)
+}
+
+// startWithin does the work of start, for messages with this time left.
+func (tp *testPool) startWithin(left control.Time, names ...string) (call []*engine.Attempt) {
+	deadline := tp.clock.Now() + left
 	for _, n := range names {
 		tp.seq++
-		call = append(call, &engine.Attempt{Seq: tp.seq, Message: &engine.Message{ExternalID: n}, Endpoint: 1, Deadline: tp.clock.Now() + 20*control.Second})
+		call = append(call, &engine.Attempt{Seq: tp.seq, Message: &engine.Message{ExternalID: n}, Endpoint: 1, Deadline: deadline, MessageDeadline: deadline})
 	}
 	tp.p.Start(call)
 	return call
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -20,7 +20,7 @@
 	head, body := s.head, s.inBuffer
 	names := s.codec.Names(s.request, head, body)
 	id := identifyAnswer(head, body)
-	judged := s.history.attribute(now, id, names, s.request.messages(), s.provisional.pending())
+	judged := s.history.attribute(now, id, names, s.request.messages(), s.provisional.inDoubt())
 	var description string
 	if judged == belongsToOther || s.held != nil {
 		description = s.describeAnswer(now, id)
@@ -77,9 +77,9 @@
 	return rest
 }
 
-// finishProvisional ends the call with an unproven answer that delivers its only message, and reports whether it did. The
-// proof follows: silence on the connection, or an answer that names its messages. That is not enough while copies are
-// expected, and for a message whose successors wait for its delivery.
+// finishProvisional ends the call with an unproven answer that delivers its only message, and reports whether it did. An answer
+// to a later call that names its messages may prove it. That is not done while copies are expected, and for a message whose
+// successors wait for its delivery.
 func (s *h1Session) finishProvisional(now time.Duration, ends []engine.Outcome, rest []byte) bool {
 	attempt := s.request.Attempts[0]
 	_, delivers := s.codec.EndFromStatus(s.request, ends[0].Status)
@@ -94,21 +94,19 @@
 	return true
 }
 
-// settleProvisionalAfterSilence settles provisional answers that were followed by silence, also while a later call is out.
-// If copies are expected, the silence proves nothing, and the connection may be out of step.
-func (s *h1Session) settleProvisionalAfterSilence(now time.Duration) {
-	if s.provisional.surplus || s.conn.pool.copiesExpected(now) {
-		// The end of a call that is out settles them.
-		if s.call == nil {
-			s.retractProvisional()
-		}
+// giveUpProvisional gives up the provisional answers that nothing has proven in time, also while a later call is out. The connection
+// is used further, without a proof for what comes on it, unless copies are expected.
+func (s *h1Session) giveUpProvisional(now time.Duration) {
+	p := s.conn.pool
+	if s.call == nil && (s.provisional.surplus || p.copiesExpected(now)) {
+		s.retractProvisional()
 		return
 	}
-	s.settleProvisional(engine.DeliveryConfirmed, "silence")
-	p := s.conn.pool
+	s.settleProvisional(unconfirmed, "nothing proves it in time")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.conn.settling = false
+	s.updateProofTimes()
 	p.assignPending(s.conn.endpoint)
 }
 
@@ -117,19 +115,38 @@
 func (s *h1Session) retractProvisional() {
 	s.closing = true
 	s.conn.netConn.CloseBoth()
-	s.settleProvisional(engine.DeliveryUnproven, "the connection is out of step, or may be")
+	s.settleProvisional(takenBack, "the connection is out of step, or may be")
 }
 
+// settlement is how provisional answers end.
+type settlement uint8
+
+const (
+	// confirmed means that they are proven.
+	confirmed settlement = iota + 1
+	// unconfirmed means that nothing has proven them, and that there is no sign of another answer.
+	unconfirmed
+	// takenBack means that there is such a sign, or that the connection is lost.
+	takenBack
+)
+
 // settleProvisional reports the end of all provisional answers, for a reason that the trace tells.
-func (s *h1Session) settleProvisional(kind engine.OutcomeKind, reason string) {
-	now := s.conn.pool.elapsed()
-	for _, a := range s.provisional.take() {
-		s.conn.pool.cfg.Trace("endpoint %d: delivery of message %s by attempt %d, on connection %d, confirmed %v, %d ms behind the first that was provisional: %s",
-			s.conn.endpoint.id, a.Message.ExternalID, a.Number, s.conn.number, kind == engine.DeliveryConfirmed, (now - s.provisional.since).Milliseconds(), reason)
-		if kind == engine.DeliveryUnproven {
-			s.conn.pool.recordTakenBack(s.conn, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
+func (s *h1Session) settleProvisional(result settlement, reason string) {
+	p, now := s.conn.pool, s.conn.pool.elapsed()
+	kind := engine.DeliveryUnproven
+	if result == confirmed {
+		kind = engine.DeliveryConfirmed
+	}
+	for _, a := range s.provisional.take(result == confirmed) {
+		p.cfg.Trace("endpoint %d: delivery of message %s by attempt %d, on connection %d, confirmed %v, %d ms behind the first that was provisional: %s",
+			s.conn.endpoint.id, a.Message.ExternalID, a.Number, s.conn.number, result == confirmed, (now - s.provisional.since).Milliseconds(), reason)
+		switch result {
+		case unconfirmed:
+			p.count(s.conn, func(counts *AnswerCounts) *uint64 { return &counts.Unconfirmed })
+		case takenBack:
+			p.recordTakenBack(s.conn, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
 		}
-		s.conn.pool.report(engine.Outcome{Seq: a.Seq, Kind: kind})
+		p.report(engine.Outcome{Seq: a.Seq, Kind: kind})
 	}
 }
 
@@ -145,7 +162,7 @@
 	if s.provisional.pending() && s.provisional.surplus {
 		s.retractProvisional()
 	}
-	s.settleProvisional(engine.DeliveryConfirmed, "a proven answer to a later call")
+	s.settleProvisional(confirmed, "a proven answer to a later call")
 	// The call may still be out if its answer is malformed.
 	if slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.Kind == engine.ProtocolError }) {
 		s.closing = true
@@ -183,21 +200,24 @@
 	s.scheduleSettling(now)
 }
 
-// scheduleSettling sets settleAt, and has checkDeadlines called then.
+// scheduleSettling sets settleAt, and has checkDeadlines called then. A message that was provisionally delivered has to have its end
+// by its deadline.
 func (s *h1Session) scheduleSettling(now time.Duration) {
 	settleTime := provisionalTime
 	if s.held != nil {
 		settleTime = holdTime
 	}
-	silence := settleTime.after(s.conn.pool.slowestAnswer(s.conn.endpoint))
-	s.settleAt = now + silence
-	time.AfterFunc(silence, s.conn.netConn.Wake)
+	s.settleAt = now + settleTime.after(s.conn.pool.slowestAnswer(s.conn.endpoint))
+	if deadline, ok := s.provisional.deadline(); ok {
+		s.settleAt = min(s.settleAt, deadline)
+	}
+	time.AfterFunc(s.settleAt-now, s.conn.netConn.Wake)
 }
 
 // settle ends a call whose unproven answer has been followed by silence. If copies are expected, the silence
 // proves nothing: the endpoint may have stopped answering.
 func (s *h1Session) settle(now time.Duration) {
-	if s.held.conflict || s.provisional.pending() && s.provisional.surplus || s.status != 0 || len(s.inBuffer) > 0 || s.conn.pool.copiesExpected(now) {
+	if s.held.conflict || s.provisional.inDoubt() || s.status != 0 || len(s.inBuffer) > 0 || s.conn.pool.copiesExpected(now) {
 		s.finishUnproven("no answer that is surely its own")
 		return
 	}
@@ -205,7 +225,6 @@
 	for i := range ends {
 		ends[i].At = control.Time(s.held.arrivedAt / time.Microsecond)
 	}
-	s.settleProvisional(engine.DeliveryConfirmed, "silence behind the answer to a later call")
 	s.finish(ends)
 }
 
@@ -244,7 +263,7 @@
 		}
 		id := identifyAnswer(head, body)
 		// An endpoint that sends other answers unasked is broken in another way.
-		if !s.history.mayBeCopy(now, id) && !s.provisional.pending() {
+		if !s.history.mayBeCopy(now, id) && !s.provisional.inDoubt() {
 			s.closing = true
 			break
 		}
@@ -255,12 +274,12 @@
 		s.closing = head.Close || s.strayAnswers > maxStrayAnswers
 	}
 	// If one of the provisional answers was a copy, this is the answer to a later call.
-	if s.provisional.pending() && (s.provisional.surplus || s.closing) {
+	if s.provisional.inDoubt() && (s.provisional.surplus || s.closing) {
 		s.retractProvisional()
 	}
 	s.conn.pool.mu.Lock()
 	defer s.conn.pool.mu.Unlock()
-	s.conn.provableAt = s.provableAt()
+	s.updateProofTimes()
 }
 
 // describeAnswer describes an answer for a log line. It must be called before the answer is added to the history.
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -256,7 +256,7 @@
 	idleElement *list.Element
 	// established is true while the scheduler counts the connection as open.
 	established bool
-	// provableAt is the time from which the answer to the next call is sure to be proven.
+	// provableAt is the time from which the answer to the next call is sure to be proven, or neverProvable.
 	provableAt control.Time
 	// doubtfulUntil is the time until which a refusal on the connection would not be proven.
 	doubtfulUntil control.Time
@@ -264,6 +264,9 @@
 	settling bool
 }
 
+// neverProvable is conn.provableAt of a connection on which no answer can be proven any more.
+const neverProvable = control.Time(never / time.Microsecond)
+
 // New creates a Pool and starts its event loops. The function report receives the end of each attempt. It is
 // called from any goroutine and must not block. New fails if the machine lacks a resource that the event loops
 // need.
--- a/internal/platform/absence_test.go
+++ b/internal/platform/absence_test.go
@@ -96,3 +96,24 @@
 	d.startReady()
 	d.checkEnds(d.submitClumps(clumpSize))
 }
+
+// Guards against a message that is lost, because the copy of an answer counted as the answer to a call that the endpoint never
+// answers, and the silence behind it as proof.
+func TestCopyAndSilenceBehindAnAnswer(t *testing.T) {
+	t.Parallel()
+	const clumpSize = 2
+	var mu sync.Mutex
+	count := 0
+	d := newDistantDispatcher(t, func(testbed.Call) testbed.Reply {
+		mu.Lock()
+		defer mu.Unlock()
+		count++
+		reply := testbed.Reply{Status: 200, Delay: workTime, Hang: count%clumpSize == 0}
+		if count%clumpSize == 1 {
+			reply.Copies = []testbed.Copy{{After: copyGap}}
+		}
+		return reply
+	})
+	d.startReady()
+	d.checkEnds(d.submitClumps(clumpSize))
+}
