Silence proves no refusal, error or end: such an answer stays in doubt

Cause: an answer like the one before is held, since it may be a copy; settle (internal/outbound/http1answers.go) took it for the call's own after 0.25 to 1 s of silence. If it was a copy, the call is still out, on a connection that counted as free; a copied 503 made 'surely not executed' of a call that runs, which sends a message again that may not be repeated; a copied 410 ended a message that was owed.

Change: what is held waits for a later answer that proves which is the call's own. If none comes in time, the call ends as possibly executed, its connection is closed before that is told, and what may be over gets no further call. On a connection on which nothing can be proven any more, an answer without names is not held at all. The log has no line for these, as there is no sign of another answer: they are counted (AnswerCounts.Unconfirmed) and traced. Outcome.At, which only the settling by silence set, is gone, and so is heldAnswer.conflict.

--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -81,7 +81,6 @@
 	RetryAfter control.Time // The wait of a Retry-After field, or zero if there was none.
 	LoadReport []float32    // The load report, if the settings have one.
 	Detail     string       // An optional explanation, which is appended to the reason.
-	At         control.Time // When the response arrived, or zero if that is now.
 
 	// PossiblyOver is set if a response, of which it is not known whether it is that of the attempt, or which is not whole, may tell that
 	// the message is over or may not be attempted again. No further attempt is made. The message fails, which does no harm if it
--- a/internal/outbound/attribution.go
+++ b/internal/outbound/attribution.go
@@ -300,8 +300,6 @@
 	ends []engine.Outcome
 	// arrivedAt is when the first answer came.
 	arrivedAt time.Duration
-	// conflict is set once answers came that differ, of which none is proven.
-	conflict bool
 	// tellsEnd holds for each attempt whether one of the answers tells that its message is over.
 	tellsEnd []bool
 }
@@ -315,7 +313,6 @@
 	case judged == belongsToCall:
 		return true
 	}
-	a.conflict = true
 	for i, told := range tellsEnd {
 		a.tellsEnd[i] = a.tellsEnd[i] || told
 	}
--- a/internal/outbound/copies.go
+++ b/internal/outbound/copies.go
@@ -15,7 +15,7 @@
 	// TakenBack is the number of calls that ended as possibly executed although an answer came, because it may have been
 	// that of another call.
 	TakenBack uint64
-	// Unconfirmed is the number of deliveries that ended as not proven without a sign of another answer.
+	// Unconfirmed is the number of answers that do not count because nothing proves them, without a sign of another answer.
 	Unconfirmed uint64
 	// EndedInDoubt is the number of messages that get no further call because an answer that may have been that of another call, or
 	// was not whole, may have ended them.
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -200,7 +200,7 @@
 		return
 	// The time for a proof is over.
 	case s.held != nil:
-		s.finishUnproven("given up before its answer was proven")
+		s.finishUnproven(takenBack, "given up before its answer was proven")
 		return
 	case timeIsOver && !s.finishFromStatus() && s.hasLiveAttempts():
 		return
@@ -306,11 +306,11 @@
 func (s *h1Session) checkDeadlines(now time.Duration) error {
 	switch {
 	case s.held != nil && now >= s.settleAt:
-		s.settle(now)
+		s.giveUpHeld(now)
 	case s.provisional.pending() && now >= s.settleAt:
 		s.giveUpProvisional(now)
 	case s.head != nil && now-s.headAt > bodyTimeout && !s.finishFromStatus() && !s.request.Named && s.possiblyOver()[0]:
-		s.finishUnproven("the body of its answer does not come")
+		s.finishUnproven(takenBack, "the body of its answer does not come")
 	}
 	return nil
 }
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"whinrun/control"
 	"whinrun/internal/engine"
 	"whinrun/internal/h1"
 )
@@ -35,7 +34,7 @@
 		s.history.recordAnswer(now, id, false)
 		s.conn.pool.recordPart(s.conn, now)
 		s.inBuffer = append(body[:len(body):len(body)], rest...)
-		s.finishUnproven("an answer within another one")
+		s.finishUnproven(takenBack, "an answer within another one")
 		return nil
 	}
 	s.history.recordAnswer(now, id, names == NamesCall)
@@ -99,7 +98,7 @@
 func (s *h1Session) giveUpProvisional(now time.Duration) {
 	p := s.conn.pool
 	if s.call == nil && (s.provisional.surplus || p.copiesExpected(now)) {
-		s.retractProvisional()
+		s.retractProvisional(takenBack)
 		return
 	}
 	s.settleProvisional(unconfirmed, "nothing proves it in time")
@@ -112,10 +111,10 @@
 
 // retractProvisional shuts the connection down and takes all provisional answers back, in this order, so that a repeat does
 // not meet a call that is still out.
-func (s *h1Session) retractProvisional() {
+func (s *h1Session) retractProvisional(result settlement) {
 	s.closing = true
 	s.conn.netConn.CloseBoth()
-	s.settleProvisional(takenBack, "the connection is out of step, or may be")
+	s.settleProvisional(result, "the connection is out of step, or may be")
 }
 
 // settlement is how provisional answers end.
@@ -140,11 +139,8 @@
 	for _, a := range s.provisional.take(result == confirmed) {
 		p.cfg.Trace("endpoint %d: delivery of message %s by attempt %d, on connection %d, confirmed %v, %d ms behind the first that was provisional: %s",
 			s.conn.endpoint.id, a.Message.ExternalID, a.Number, s.conn.number, result == confirmed, (now - s.provisional.since).Milliseconds(), reason)
-		switch result {
-		case unconfirmed:
-			p.count(s.conn, func(counts *AnswerCounts) *uint64 { return &counts.Unconfirmed })
-		case takenBack:
-			p.recordTakenBack(s.conn, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
+		if result != confirmed {
+			s.recordNotCounted(result, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
 		}
 		p.report(engine.Outcome{Seq: a.Seq, Kind: kind})
 	}
@@ -160,7 +156,7 @@
 	s.recordLatency(now)
 	// If an answer names its call, and there were as many answers as calls, each belongs to its own.
 	if s.provisional.pending() && s.provisional.surplus {
-		s.retractProvisional()
+		s.retractProvisional(takenBack)
 	}
 	s.settleProvisional(confirmed, "a proven answer to a later call")
 	// The call may still be out if its answer is malformed.
@@ -185,19 +181,22 @@
 	}
 }
 
-// hold keeps an unproven answer until a later one or silence decides. An answer with a wait is not kept, because the wait
-// counts from now on: its call ends without a proof, and its connection with it. While a message may be over, nothing else may
-// call it.
+// hold keeps an unproven answer until a later one proves which is the call's own, or the time for that is over. An answer with a wait
+// is not kept, because the wait counts from now on, and neither is one on a connection on which nothing can be proven any more: its
+// call ends without a proof, and its connection with it. While a message may be over, nothing else may call it.
 func (s *h1Session) hold(now time.Duration, id answerID, ends []engine.Outcome) {
 	s.held = &heldAnswer{id: id, ends: ends, arrivedAt: now, tellsEnd: s.codec.TellsEnd(s.request, id.status, s.inBuffer)}
 	s.admitNoCall(s.held.tellsEnd)
 	s.conn.pool.cfg.Trace("endpoint %d: answer %d to attempt %d of message %s may be a copy: held", s.conn.endpoint.id, id.status, s.request.Attempts[0].Number,
 		s.request.Attempts[0].Message.ExternalID)
-	if s.closing || slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.RetryAfter > 0 }) {
-		s.finishUnproven("an answer that may be that of another call")
-		return
+	switch {
+	case s.closing || slices.ContainsFunc(ends, func(e engine.Outcome) bool { return e.RetryAfter > 0 }):
+		s.finishUnproven(takenBack, "an answer that may be that of another call")
+	case s.provisional.inDoubt() && !s.request.Named:
+		s.finishUnproven(unconfirmed, "an answer that may be that of an earlier call")
+	default:
+		s.scheduleSettling(now)
 	}
-	s.scheduleSettling(now)
 }
 
 // scheduleSettling sets settleAt, and has checkDeadlines called then. A message that was provisionally delivered has to have its end
@@ -214,24 +213,19 @@
 	time.AfterFunc(s.settleAt-now, s.conn.netConn.Wake)
 }
 
-// settle ends a call whose unproven answer has been followed by silence. If copies are expected, the silence
-// proves nothing: the endpoint may have stopped answering.
-func (s *h1Session) settle(now time.Duration) {
-	if s.held.conflict || s.provisional.inDoubt() || s.status != 0 || len(s.inBuffer) > 0 || s.conn.pool.copiesExpected(now) {
-		s.finishUnproven("no answer that is surely its own")
-		return
-	}
-	ends := s.held.ends
-	for i := range ends {
-		ends[i].At = control.Time(s.held.arrivedAt / time.Microsecond)
+// giveUpHeld ends a call whose answer nothing has proven in time. Silence proves nothing: the call may still be out.
+func (s *h1Session) giveUpHeld(now time.Duration) {
+	result := unconfirmed
+	if s.status != 0 || len(s.inBuffer) > 0 || s.conn.pool.copiesExpected(now) {
+		result = takenBack
 	}
-	s.finish(ends)
+	s.finishUnproven(result, "no answer that is surely its own came in time")
 }
 
-// finishUnproven ends the call as possibly executed, and its connection with it.
-func (s *h1Session) finishUnproven(reason string) {
+// finishUnproven ends the call as possibly executed, and its connection with it. The call may still be out.
+func (s *h1Session) finishUnproven(result settlement, reason string) {
 	possiblyOver := s.possiblyOver()
-	s.retractProvisional()
+	s.retractProvisional(result)
 	ends := make([]engine.Outcome, len(s.attempts))
 	for i := range ends {
 		ends[i] = engine.Outcome{Kind: engine.UnprovenAnswer, Detail: reason, PossiblyOver: possiblyOver[i]}
@@ -239,10 +233,19 @@
 			ends[i].RetryAfter = s.held.ends[i].RetryAfter
 		}
 	}
-	s.conn.pool.recordTakenBack(s.conn, reason+", messages out: "+s.request.names())
+	s.recordNotCounted(result, reason+", messages out: "+s.request.names())
 	s.finish(ends)
 }
 
+// recordNotCounted counts an answer that does not count. It reports one for which there is a sign of another answer.
+func (s *h1Session) recordNotCounted(result settlement, description string) {
+	if result == takenBack {
+		s.conn.pool.recordTakenBack(s.conn, description)
+		return
+	}
+	s.conn.pool.count(s.conn, func(counts *AnswerCounts) *uint64 { return &counts.Unconfirmed })
+}
+
 // readStray reads bytes that belong to no call. Complete answers are copies and are skipped. All else makes the connection
 // unusable.
 func (s *h1Session) readStray(now time.Duration, b []byte) {
@@ -275,7 +278,7 @@
 	}
 	// If one of the provisional answers was a copy, this is the answer to a later call.
 	if s.provisional.inDoubt() && (s.provisional.surplus || s.closing) {
-		s.retractProvisional()
+		s.retractProvisional(takenBack)
 	}
 	s.conn.pool.mu.Lock()
 	defer s.conn.pool.mu.Unlock()
