A held answer that proves to be another call's counts as one answer too many

What callers would see: a message that was refused counts as delivered, and is lost. Found by reading for the class (the lack of a further answer as proof); no run of a node has shown it, since an endpoint answers either all calls with names or none, unless its class in the list changes on an open connection.

Cause: a named answer confirms the provisional deliveries before it if there were as many answers as calls. handleAnswer (internal/outbound/http1answers.go) skips an answer like the first as surplus, but not one of another status, which is held for the later call and then turns out to be an earlier one's.

Change: it counts as surplus, and the deliveries are taken back.

Test: TestNamedAnswerSettlesProvisionalDeliveries, 'one more, of another status', failed before (confirmed); the other two cases held.

--- a/internal/outbound/attribution_test.go
+++ b/internal/outbound/attribution_test.go
@@ -278,6 +278,32 @@
 	}
 }
 
+// A provisional delivery is confirmed by an answer to a later call that names its message, if there were as many answers as calls.
+// Guards against a message that is lost because an answer of another status in between, which is one more, was not counted.
+func TestNamedAnswerSettlesProvisionalDeliveries(t *testing.T) {
+	const name = namedPrefix + "c"
+	for _, test := range []struct {
+		name    string
+		between string
+		want    engine.OutcomeKind
+	}{
+		{"as many answers as calls", "", engine.DeliveryConfirmed},
+		{"one more, like the first", okAnswer, engine.DeliveryUnproven},
+		{"one more, of another status", busyAnswer, engine.DeliveryUnproven},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tp, c := startSecondCall(t)
+			_, _ = c.Write([]byte(okAnswer))
+			tp.wantProvisional()
+			tp.start(name)
+			tp.read(c)
+			_, _ = c.Write([]byte(test.between + "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" + name))
+			tp.wantEnd(test.want, 0)
+			tp.wantEnd(engine.Answered, 200)
+		})
+	}
+}
+
 // Guards against a conclusion from answers that do not tell which is the copy: the call has ended as possibly executed, and
 // its connection is gone before that is reported.
 func TestAnswersThatProveNothing(t *testing.T) {
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -18,12 +18,25 @@
 	"whinrun/internal/h1"
 )
 
-// plainCodec is an HTTP1Codec for tests. The path of a request lists the names of its messages.
+// plainCodec is an HTTP1Codec for tests. The path of a request lists the names of its messages. Calls of messages whose names begin
+// with namedPrefix can have the named form, in which a response with status 200 has the name of its message as its body.
 type plainCodec struct{ addr netip.AddrPort }
 
-func (p plainCodec) Address(control.EndpointID) (netip.AddrPort, bool)    { return p.addr, true }
-func (p plainCodec) CanName(*engine.Attempt) bool                         { return false }
-func (p plainCodec) Names(HTTP1Request, *h1.Response, []byte) AnswerNames { return NamesNone }
+const namedPrefix = "named-"
+
+func (p plainCodec) Address(control.EndpointID) (netip.AddrPort, bool) { return p.addr, true }
+func (p plainCodec) CanName(a *engine.Attempt) bool {
+	return strings.HasPrefix(a.Message.ExternalID, namedPrefix)
+}
+func (p plainCodec) Names(r HTTP1Request, head *h1.Response, body []byte) AnswerNames {
+	switch {
+	case !r.Named || head.Status != 200 || !strings.HasPrefix(r.Attempts[0].Message.ExternalID, namedPrefix):
+		return NamesNone
+	case string(body) == r.Attempts[0].Message.ExternalID:
+		return NamesCall
+	}
+	return NamesMissing
+}
 func (p plainCodec) Request(b []byte, r HTTP1Request) []byte {
 	names := make([]string, len(r.Attempts))
 	for i, a := range r.Attempts {
@@ -39,7 +52,7 @@
 	return ends
 }
 func (p plainCodec) EndFromStatus(r HTTP1Request, status int) (engine.Outcome, bool) {
-	return engine.Outcome{Kind: engine.Answered, Status: status}, status == 200 && len(r.Attempts) == 1
+	return engine.Outcome{Kind: engine.Answered, Status: status}, status == 200 && !r.Named
 }
 
 func (p plainCodec) TellsEnd(r HTTP1Request, status int, _ []byte) []bool {
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -44,6 +44,7 @@
 		return rest
 	case s.held != nil:
 		s.conn.pool.recordCopy(s.conn, now, "an answer to another call, of which this is not a copy: "+description)
+		s.provisional.surplus = true
 	case judged == unproven:
 		return s.handleUnproven(now, id, rest)
 	}
