A message that may not be repeated goes where its refusal would be proven

Need: the other side of 'silence proves no refusal'. On endpoints that take one message a call, a connection on which a delivery was given up without a proof proves nothing any more.

A message that may not be repeated, or whose successors wait for it, prefers connections by what they would prove, and waits up to 150 ms for a new one if none would prove any answer; not where answers name their messages, within 10 s of a failed dial, or beyond half of the connections. Others prefer the connections that can prove nothing, and leave the rest to them.

Tests: TestMessageThatRunsOnceGetsAProvingConnection fails without awaitsProof (the call is written on the doubtful connection); TestProofConnsAreBounded and TestWaitForAProofIsBounded hold the limits.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -172,6 +172,9 @@
 	// Value is the worth of the message by its class.
 	Value float64
 
+	// RunsOnce is set if the message may not be repeated once it was possibly executed.
+	RunsOnce bool
+
 	// Deadline is the time at which the attempt is given up.
 	Deadline control.Time
 
@@ -702,7 +705,8 @@
 	}
 	c.lastSeq++
 	attempt := &Attempt{Seq: c.lastSeq, Message: state.message, Number: state.attempts, Endpoint: action.Endpoint, Placement: c.placements[action.Endpoint], Deadline: state.deadline, MessageDeadline: state.deadline, StartedAt: c.now,
-		WriteBefore: c.now + action.SendWithin, Value: c.options.Settings.Classes[state.message.Class].Value}
+		WriteBefore: c.now + action.SendWithin, Value: c.options.Settings.Classes[state.message.Class].Value,
+		RunsOnce: c.options.Settings.Classes[state.message.Class].Effect == control.AtMostOnce}
 	attempt.PerEndpointLimits = c.hasPerEndpointLimits(attempt.Placement.Kind)
 	if action.After > 0 {
 		attempt.Deadline = min(attempt.Deadline, c.now+action.After)
--- /dev/null
+++ b/internal/outbound/assign_test.go
@@ -0,0 +1,74 @@
+package outbound
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"whinrun/control"
+	"whinrun/internal/engine"
+)
+
+// startOnce starts a call of a message that may not be repeated.
+func (tp *testPool) startOnce(name string) {
+	tp.seq++
+	deadline := tp.clock.Now() + 20*control.Second
+	tp.p.Start([]*engine.Attempt{{Seq: tp.seq, Message: &engine.Message{ExternalID: name}, Endpoint: 1, Deadline: deadline, MessageDeadline: deadline, RunsOnce: true}})
+}
+
+// newDoubtfulConn returns a pool of which up to proofConns connections are opened for a proof, and its only connection, on which no
+// answer can be proven any more.
+func newDoubtfulConn(t *testing.T, proofConns int) (*testPool, net.Conn) {
+	t.Helper()
+	tp := newTestPoolFrom(t, func(cfg *Config) { cfg.ProofConns = proofConns })
+	tp.start("a")
+	c := tp.conn()
+	tp.read(c)
+	_, _ = c.Write([]byte(okAnswer))
+	tp.wantEnd(engine.Answered, 200)
+	tp.start("b")
+	tp.read(c)
+	_, _ = c.Write([]byte(okAnswer))
+	tp.wantProvisional()
+	tp.wantEnd(engine.DeliveryUnproven, 0)
+	return tp, c
+}
+
+// Guards against a message that may not be repeated and fails although it was refused, because its connection could prove nothing:
+// it gets a new one. Other messages use the connection that there is.
+func TestMessageThatRunsOnceGetsAProvingConnection(t *testing.T) {
+	tp, c := newDoubtfulConn(t, 2)
+	tp.startOnce("c")
+	d := tp.conn()
+	if got := tp.read(d); !strings.Contains(got, "/c") {
+		t.Errorf("%q on the new connection", got)
+	}
+	_, _ = d.Write([]byte(busyAnswer))
+	tp.wantEnd(engine.Answered, 503)
+	tp.start("d")
+	if got := tp.read(c); !strings.Contains(got, "/d") {
+		t.Errorf("%q on the doubtful connection", got)
+	}
+}
+
+// Guards against a call that waits for a connection that is not to be opened: at the limit, the doubtful one is used.
+func TestProofConnsAreBounded(t *testing.T) {
+	tp, c := newDoubtfulConn(t, 1)
+	tp.startOnce("c")
+	if got := tp.read(c); !strings.Contains(got, "/c") {
+		t.Errorf("%q on the doubtful connection", got)
+	}
+}
+
+// Guards against a call that waits for good: if no new connection comes up in time, the doubtful one is used.
+func TestWaitForAProofIsBounded(t *testing.T) {
+	tp, c := newDoubtfulConn(t, 2)
+	tp.p.mu.Lock()
+	// A dial that never ends.
+	tp.p.endpoints[1].dialing++
+	tp.p.mu.Unlock()
+	tp.startOnce("c")
+	if got := tp.read(c); !strings.Contains(got, "/c") {
+		t.Errorf("%q on the doubtful connection", got)
+	}
+}
--- a/internal/outbound/http1.go
+++ b/internal/outbound/http1.go
@@ -240,7 +240,7 @@
 	s.conn.pool.mu.Lock()
 	s.conn.usable = s.conn.usable && !s.closing
 	s.updateProofTimes()
-	s.conn.settling = s.provisional.overdue(now)
+	s.conn.settling, s.conn.canName = s.provisional.overdue(now), s.canName
 	s.conn.pool.mu.Unlock()
 	attempts := s.attempts
 	s.call, s.request, s.attempts, s.held = nil, HTTP1Request{}, nil, nil
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -104,6 +104,12 @@
 
 // newTestPoolWith creates a testPool whose calls need admission.
 func newTestPoolWith(t *testing.T, admission Admission) *testPool {
+	t.Helper()
+	return newTestPoolFrom(t, func(cfg *Config) { cfg.Admission = admission })
+}
+
+// newTestPoolFrom creates a testPool with a changed configuration.
+func newTestPoolFrom(t *testing.T, change func(*Config)) *testPool {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -119,8 +125,9 @@
 			tp.conns <- c
 		}
 	}()
-	cfg := Config{Loops: 1, MaxConnsPerEndpoint: 3, MaxStreams: 1, ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: 1000, Admission: admission, System: tp.received,
+	cfg := Config{Loops: 1, MaxConnsPerEndpoint: 3, MaxStreams: 1, ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxAnswerBytes: 1000, System: tp.received,
 		DialLimits: dialscheduler.Limits{HandshakesPerSecond: 1000, MaxHandshakes: 2, MaxConns: 3}}
+	change(&cfg)
 	tp.p, err = New(cfg, NewHTTP1(plainCodec{netip.MustParseAddrPort(ln.Addr().String())}), tp.clock, func(e engine.Outcome) { tp.ends <- e })
 	if err != nil {
 		t.Fatal(err)
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -111,6 +111,9 @@
 	IdleTimeout time.Duration
 	// DialLimits bounds the dials to all endpoints together, and the number of connections.
 	DialLimits dialscheduler.Limits
+	// ProofConns is the number of open connections below which a new one is opened for a call that needs a proof for its answer, and
+	// would not surely have it on those that have capacity.
+	ProofConns int
 	// MaxAnswerBytes is the number of bytes kept of a response body. HTTP/2 discards the rest of a longer one.
 	// HTTP/1.1 treats a longer one as malformed and closes the connection.
 	MaxAnswerBytes int
@@ -174,6 +177,8 @@
 	requested bool
 	// localFailure is true if the latest dial failed because of this machine.
 	localFailure bool
+	// dialFailedAt is when a dial last failed. It is 0 if none has.
+	dialFailedAt control.Time
 	// activeUntil is the time until which the endpoint counts as recently active.
 	activeUntil control.Time
 	// lastPartAt is when the endpoint last sent bytes that are no answer. It is 0 if it sent none.
@@ -199,6 +204,8 @@
 	remaining int
 	// requeued is true if the call was assigned to a connection before and returned from it without being written.
 	requeued bool
+	// proofBy is until when the call waits for a connection on which any answer would be proven. It is 0 until it waits.
+	proofBy control.Time
 }
 
 // attemptState is the state of one attempt. The fields ended, abandoned and endKind are guarded by Pool.mu. The
@@ -260,8 +267,10 @@
 	provableAt control.Time
 	// doubtfulUntil is the time until which a refusal on the connection would not be proven.
 	doubtfulUntil control.Time
-	// settling is true while the connection rests until earlier answers on it are proven.
+	// settling is true while the connection rests until earlier answers on it are proven or given up.
 	settling bool
+	// canName is true if answers on the connection can name their messages.
+	canName bool
 }
 
 // neverProvable is conn.provableAt of a connection on which no answer can be proven any more.
@@ -348,62 +357,6 @@
 	p.mu.Unlock()
 }
 
-// assign puts a call on a connection that has capacity, and reports whether there is one: the first one on which any answer
-// would be proven, or else the first on which a refusal would be, or else the first one. Calls that start together then share a
-// connection where they can and leave in one write. A connection that has been idle for longer than IdleTimeout is skipped,
-// because its peer may be closing it. While copies of answers are expected, a connection is skipped until its next answer is sure
-// to be proven. Pool.mu must be held.
-func (p *Pool) assign(k *call) bool {
-	now := p.clock.Now()
-	idleBefore := now - control.Time(p.cfg.IdleTimeout/time.Microsecond)
-	copiesExpected := p.expectsCopies(clock.Elapsed(p.clock))
-	var chosen *conn
-	var chosenRank proofRank
-	for _, c := range k.endpoint.conns {
-		if !c.usable || c.settling || c.inFlight >= c.capacity || c.inFlight == 0 && c.idleSince < idleBefore || copiesExpected && c.provableAt > now {
-			continue
-		}
-		if rank := c.proofRank(now); chosen == nil || rank < chosenRank {
-			chosen, chosenRank = c, rank
-		}
-		if chosenRank == anyAnswerProven {
-			break
-		}
-	}
-	if chosen == nil {
-		return false
-	}
-	k.conn = chosen
-	chosen.inFlight++
-	chosen.unmarkIdle()
-	chosen.enqueue(command{start: k})
-	return true
-}
-
-// proofRank tells which answers to the next call on a connection would be proven to belong to it. A lower one is better.
-type proofRank uint8
-
-// Values of proofRank.
-const (
-	// anyAnswerProven means that any answer would be.
-	anyAnswerProven proofRank = iota
-	// refusalProven means that a refusal would be.
-	refusalProven
-	// nothingProven means that no answer would surely be.
-	nothingProven
-)
-
-// proofRank returns the rank of a connection. Pool.mu must be held.
-func (c *conn) proofRank(now control.Time) proofRank {
-	switch {
-	case c.provableAt <= now && c.doubtfulUntil <= now:
-		return anyAnswerProven
-	case c.doubtfulUntil <= now:
-		return refusalProven
-	}
-	return nothingProven
-}
-
 // enqueue adds a command for the connection's event loop. Pool.mu must be held.
 func (c *conn) enqueue(cmd command) {
 	c.commands = append(c.commands, cmd)
@@ -437,26 +390,6 @@
 	p.wakeScheduler()
 }
 
-// maxRestingFactor bounds the connections to an endpoint, as a multiple of Config.MaxConnsPerEndpoint, while copies of
-// answers are expected and connections rest until their next answer can be proven.
-const maxRestingFactor = 4
-
-// atConnLimit reports whether an endpoint has as many connections as it may have. Connections that rest do not count
-// towards Config.MaxConnsPerEndpoint. Pool.mu must be held.
-func (p *Pool) atConnLimit(s *endpointPool) bool {
-	now := p.clock.Now()
-	resting := 0
-	if p.expectsCopies(clock.Elapsed(p.clock)) {
-		for _, c := range s.conns {
-			if c.inFlight == 0 && c.provableAt > now {
-				resting++
-			}
-		}
-	}
-	total := len(s.conns) + s.dialing
-	return total-resting >= p.cfg.MaxConnsPerEndpoint || total >= maxRestingFactor*p.cfg.MaxConnsPerEndpoint
-}
-
 // wakeScheduler has runScheduler ask the scheduler again. It does not block.
 func (p *Pool) wakeScheduler() {
 	select {
@@ -621,15 +554,6 @@
 	p.report(e)
 }
 
-// assignPending assigns pending calls to connections, in order, until one finds no capacity. Pool.mu must be held.
-func (p *Pool) assignPending(s *endpointPool) {
-	n := 0
-	for n < len(s.pending) && p.assign(s.pending[n]) {
-		n++
-	}
-	s.pending = append(s.pending[:0], s.pending[n:]...)
-}
-
 // failCalls ends calls that were never written as NotConnected.
 func (p *Pool) failCalls(calls []*call, reason string) {
 	for _, k := range calls {
@@ -649,7 +573,7 @@
 	failure := classifyDialError(err)
 	p.mu.Lock()
 	s.dialing--
-	s.localFailure = failure != dialscheduler.PeerFailed
+	s.localFailure, s.dialFailedAt = failure != dialscheduler.PeerFailed, p.clock.Now()
 	p.scheduler.Failed(p.elapsed(), failure)
 	var failed []*call
 	if !s.localFailure {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -28,6 +28,8 @@
 	// maxResponseBody is the largest accepted body of a response, in bytes. No response of the platform needs
 	// more.
 	maxResponseBody = 64 << 10
+	// proofFraction is the fraction of the connections to endpoints up to which new ones are opened for the sake of a proof.
+	proofFraction = 0.5
 	// idleFraction is the fraction of the endpoints' idle timeout up to which an idle connection is reused.
 	idleFraction = 0.8
 	// maxHeldFactor bounds the messages held, as a multiple of the setting max-open. The decision library
@@ -193,6 +195,7 @@
 		ConnectTimeout: durationOr(set.ConnectTimeout, 1500*time.Millisecond),
 		IdleTimeout:    time.Duration(idleFraction * float64(durationOr(set.ConnIdleTimeout, 5*time.Second))),
 		DialLimits:     dialscheduler.Limits{HandshakesPerSecond: float64(10 * budget.endpoints), MaxHandshakes: budget.connecting, MaxConns: budget.endpoints},
+		ProofConns:     int(proofFraction * float64(budget.endpoints)),
 		Trace:          n.debugLogger(), Admission: poolAdmission, System: n.system, ReportAnswer: n.reportAnswer,
 	}
 	calls := outbound.NewHTTP1(CallCodec{n.directory, n.cfg.LoadMetrics})
