--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -41,6 +41,8 @@
 		return overReply(call, delay)
 	case "reset-behind":
 		return testbed.Reply{Status: 200, Delay: delay, ResetAfter: resetAfter(call)}
+	case "early-close":
+		return earlyCloseReply(call)
 	case "doubt":
 		return doubtfulReply(call)
 	case "slow":
@@ -113,6 +115,21 @@
 	return time.Millisecond + time.Duration(call.Number*7919)*time.Microsecond%maxResetAfter
 }
 
+// maxIdleTime is the longest time from an answer until its endpoint closes the idle connection early.
+const maxIdleTime = 60 * time.Millisecond
+
+// earlyCloseReply returns an answer behind which the connection is closed unless a further call comes soon. One in two sends the
+// answer again right before the close. One call in ten is refused.
+func earlyCloseReply(call testbed.Call) testbed.Reply {
+	rng := rand.New(rand.NewPCG(uint64(call.Number), 0xc105))
+	reply := testbed.Reply{Status: 200, Delay: time.Duration(5+rng.IntN(60)) * time.Millisecond, CopyAtClose: rng.IntN(2) == 0}
+	if rng.IntN(10) == 0 {
+		reply.Status = 503
+	}
+	reply.CloseIdleAfter = time.Millisecond + time.Duration(rng.Int64N(int64(maxIdleTime)))
+	return reply
+}
+
 // doubtfulReply returns an answer that may be a copy, be cut off, tell the end of messages, or be followed by a reset, or no answer
 // at all.
 func doubtfulReply(call testbed.Call) testbed.Reply {
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -31,6 +31,8 @@
 // environment holds the endpoints and agents that the dispatchers of a run talk to.
 type environment struct {
 	testbed *testbed.Testbed
+	// latency is the time that bytes take each way to and from endpoints.
+	latency time.Duration
 
 	mu        sync.Mutex
 	endpoints []*proxiedEndpoint
@@ -62,8 +64,8 @@
 )
 
 // newEnvironment starts one to three endpoints for each destination.
-func newEnvironment(bed *testbed.Testbed) (*environment, error) {
-	w := &environment{testbed: bed}
+func newEnvironment(bed *testbed.Testbed, latency time.Duration) (*environment, error) {
+	w := &environment{testbed: bed, latency: latency}
 	for dest := range destinations {
 		for range 1 + dest%3 {
 			if _, err := w.addEndpoint(dest); err != nil {
@@ -96,6 +98,7 @@
 	if p.proxy, err = w.testbed.Proxy(p.endpoint); err != nil {
 		return nil, err
 	}
+	p.proxy.SetLatency(w.latency)
 	site := []string{"east", "west"}[w.endpointCount%2]
 	p.entry = testbed.EndpointEntry{Host: name, Dial: p.proxy.Addr, Site: site, Class: endpointClass(dest), Block: dest, Health: "ready", Share: 50}
 	w.mu.Lock()
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -88,6 +88,9 @@
 	text = bytes.ReplaceAll(text, []byte(`"instances":1`), fmt.Appendf(nil, `"instances":%d`, n.run.cfg.Nodes))
 	text = bytes.ReplaceAll(text, []byte(`"name":"n0"`), fmt.Appendf(nil, `"name":%q`, n.name))
 	text = bytes.ReplaceAll(text, []byte(`"window":4000000`), fmt.Appendf(nil, `"window":%d`, dedupWindow.Microseconds()))
+	if n.run.cfg.Slots > 0 {
+		text = bytes.ReplaceAll(text, []byte(`"slots":10`), fmt.Appendf(nil, `"slots":%d`, n.run.cfg.Slots))
+	}
 	return os.WriteFile(n.configPath(), text, 0o600)
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,10 @@
 	Intensity float64
 	// FaultKinds lists the kinds of fault to use, empty for all.
 	FaultKinds []string
+	// Slots is the number of calls that a dispatcher may have in flight. Zero stands for that of the test bed.
+	Slots int
+	// Latency is the time that bytes take each way between dispatchers and endpoints.
+	Latency time.Duration
 }
 
 // Fault is one planned fault.
@@ -89,6 +93,8 @@
 	{"over", 3},
 	// An endpoint resets connections up to 0.1 s behind answers.
 	{"reset-behind", 2},
+	// An endpoint closes idle connections early, half of the time right behind a copy of an answer.
+	{"early-close", 3},
 	// An endpoint does all that together: copies, ends of messages, answers cut off, resets and calls without an answer.
 	{"doubt", 3},
 	// Connections to an endpoint are refused.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -115,7 +115,7 @@
 // startNodes creates the environment and starts all nodes.
 func (r *run) startNodes() error {
 	var err error
-	if r.environment, err = newEnvironment(r.testbed); err != nil {
+	if r.environment, err = newEnvironment(r.testbed, r.cfg.Latency); err != nil {
 		return err
 	}
 	for i := range r.cfg.Nodes {
