A refusal in doubt tells the decision library of the limit, and proves nothing

A refusal in doubt ended as Cancelled, of which the library learns nothing.

Change: the end of an attempt in doubt has the status of its answer. A refusal is LimitExceeded for the library, with PossiblyExecuted, which an Outcome event can now say: it backs off, and repeats the message only as its class allows.

--- a/control/api.go
+++ b/control/api.go
@@ -226,7 +226,8 @@
 	OK Result = iota
 	// ErrorResponse means that the endpoint answered with an error. The attempt was possibly executed.
 	ErrorResponse
-	// LimitExceeded means that the endpoint refused the attempt because a limit was reached. The attempt was not executed.
+	// LimitExceeded means that the endpoint refused the attempt because a limit was reached. The attempt was not executed, unless the
+	// event says PossiblyExecuted: the refusal may then be that of another attempt.
 	LimitExceeded
 	// TimedOut means that no answer came in time. The attempt was possibly executed.
 	TimedOut
@@ -311,7 +312,8 @@
 	Closed bool
 	// Elapsed is the time since the attempt or probe was sent.
 	Elapsed Time
-	// PossiblyExecuted tells that an earlier process made an attempt that was possibly executed.
+	// PossiblyExecuted tells that an earlier process made an attempt that was possibly executed. In an Outcome it tells that the
+	// attempt was, although the result would mean that it was not.
 	PossiblyExecuted bool
 	// Restored tells that an earlier process had accepted the message.
 	Restored bool
--- a/control/control.go
+++ b/control/control.go
@@ -591,7 +591,7 @@
 		m.attemptsNotSent++
 	}
 	d.settleMessage(c, e)
-	if !provesNotExecuted(e.Result) && e.Result != OK {
+	if (e.PossiblyExecuted || !provesNotExecuted(e.Result)) && e.Result != OK {
 		if !m.possiblyExecuted {
 			d.markPossiblyExecuted(m, c.sentAt, c.ep.zone)
 		}
--- a/control/restored_test.go
+++ b/control/restored_test.go
@@ -42,6 +42,22 @@
 	}
 }
 
+// A refusal that may be that of another attempt tells of the endpoint, but not that the attempt was not executed: what may not be
+// repeated ends, and the rest is repeated as its class permits.
+func TestRefusalThatMayBeThatOfAnotherAttempt(t *testing.T) {
+	for class, repeated := range map[int]bool{atMostOnce: false, deduplicated: true, idempotent: true} {
+		r := newRunner(t, testSettings(), entry(1, 0, 0))
+		r.wantSent(r.step(0, r.arrival(class, 1)), 1)
+		refusal := outcome(1, 0, LimitExceeded)
+		refusal.PossiblyExecuted = true
+		actions := slices.Concat(r.step(sec/10, refusal), r.runFor(2*sec))
+		sent := slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == Send && a.Message == 1 })
+		if failed := slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == Fail && a.Message == 1 }); sent != repeated || failed == repeated {
+			t.Errorf("class %d: sent again %v, failed %v", class, sent, failed)
+		}
+	}
+}
+
 // With KeepHeld the next process goes on with the open messages. Until then this dispatcher refuses new messages with the
 // longest wait that is permitted. It starts no call that may not end in time, and it ends no queued message.
 func TestShutdownThatKeepsMessages(t *testing.T) {
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -600,7 +600,8 @@
 		c.events = append(c.events, control.Event{Kind: control.RecordingStatus, RecordingFails: true})
 	}
 	c.events = append(c.events, control.Event{Kind: control.Outcome, Message: attempt.Message.ID, Attempt: attempt.Number, Endpoint: attempt.Endpoint,
-		Result: classification.Result, Closed: state.ended || provisional, Elapsed: c.now - attempt.StartedAt, RetryAfter: outcome.RetryAfter, Report: outcome.LoadReport})
+		Result: classification.Result, Closed: state.ended || provisional, Elapsed: c.now - attempt.StartedAt, RetryAfter: outcome.RetryAfter, Report: outcome.LoadReport,
+		PossiblyExecuted: classification.PossiblyExecuted})
 	c.removeIfDone(state)
 }
 
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -57,7 +57,8 @@
 	// NotRecorded means that the attempt could not be recorded in the ledger, and was therefore not sent.
 	NotRecorded
 
-	// UnprovenAnswer means that a response came that may be that of another attempt, and that the connection was closed.
+	// UnprovenAnswer means that a response came that may be that of another attempt, and that the connection was closed. Its status, if
+	// it is known, tells of the endpoint, and not of the attempt.
 	UnprovenAnswer
 
 	// DeliveryConfirmed follows an outcome with Provisional set: the response was that of the attempt.
@@ -130,9 +131,22 @@
 	Cancelled:            {control.Cancelled, true, false, "called off: it may have run"},
 }
 
+// InDoubt returns the meaning of a response that may be that of another attempt. A refusal tells of the endpoint's limit all the
+// same.
+func (v Classification) InDoubt() Classification {
+	doubt := classifications[UnprovenAnswer]
+	if v.Result == control.LimitExceeded {
+		doubt.Result = control.LimitExceeded
+	}
+	return doubt
+}
+
 // Classify returns what an outcome means. pathPerMessage is set if the path belongs to the message (a device or a subscription)
 // and not to the endpoint. Status 404 then says nothing about the endpoint.
 func Classify(e Outcome, pathPerMessage bool) Classification {
+	if e.Kind == UnprovenAnswer && e.Status != 0 {
+		return classifyStatus(e.Status, e.RetryAfter, pathPerMessage).InDoubt()
+	}
 	if e.Kind != Answered {
 		if v, ok := classifications[e.Kind]; ok {
 			return v
--- a/internal/engine/provisional_test.go
+++ b/internal/engine/provisional_test.go
@@ -79,3 +79,26 @@
 		}
 	}
 }
+
+// TestRefusalInDoubt checks that a refusal that may be that of another attempt proves nothing: a message that may not be repeated fails,
+// and is not called again.
+func TestRefusalInDoubt(t *testing.T) {
+	for class := range settings().Classes {
+		if settings().Classes[class].Effect != control.AtMostOnce {
+			continue
+		}
+		b, c := newSpy(t)
+		in := b.msg(1, 2, 10)
+		in.Submit.Class = class
+		c.Round(2*control.Second, []Input{in})
+		b.want(t, "take m1", "told m1", "start 1")
+		c.Round(2*control.Second+1000, []Input{{Outcome: &Outcome{Seq: b.calls[0][0].Seq, Kind: UnprovenAnswer, Status: 429}}})
+		b.want(t, "back m1 true", "over m1 true", "final m1 failed")
+		for now, ok := c.NextTimer(); ok && now < 4*control.Second; now, ok = c.NextTimer() {
+			c.Round(now, nil)
+		}
+		b.want(t)
+		return
+	}
+	t.Error("no class that may not be repeated")
+}
--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -230,8 +230,12 @@
 	ends := make([]engine.Outcome, len(s.attempts))
 	for i := range ends {
 		ends[i] = engine.Outcome{Kind: engine.UnprovenAnswer, Detail: reason, PossiblyOver: possiblyOver[i]}
-		if s.held != nil {
-			ends[i].RetryAfter = s.held.ends[i].RetryAfter
+		if s.held == nil {
+			continue
+		}
+		ends[i].RetryAfter = s.held.ends[i].RetryAfter
+		if s.held.ends[i].Kind == engine.Answered {
+			ends[i].Status = s.held.ends[i].Status
 		}
 	}
 	s.recordNotCounted(result, reason+", messages out: "+s.request.names())
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -228,6 +228,10 @@
 // Classify returns what an end of an attempt means on the platform. Statuses 400, 410, 413, 429, 503 and 504
 // prove that the attempt was not executed.
 func Classify(e engine.Outcome) engine.Classification {
+	if e.Kind == engine.UnprovenAnswer && e.Status != 0 {
+		e.Kind = engine.Answered
+		return Classify(e).InDoubt()
+	}
 	if e.Kind != engine.Answered {
 		return engine.Classify(e, false)
 	}
--- a/internal/platform/copies_test.go
+++ b/internal/platform/copies_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"whinrun/control"
 	"whinrun/internal/engine"
 	"whinrun/internal/h1"
 	"whinrun/internal/outbound"
@@ -184,3 +185,15 @@
 		}
 	}
 }
+
+// Guards against a message that is sent again because of a refusal that may be that of another call. The refusal still tells of the
+// endpoint's limit; an end in doubt is none.
+func TestClassifyAnswerInDoubt(t *testing.T) {
+	for status, want := range map[int]control.Result{503: control.LimitExceeded, 429: control.LimitExceeded, 500: control.Cancelled, 410: control.Cancelled, 504: control.Cancelled,
+		200: control.Cancelled, 0: control.Cancelled} {
+		got := Classify(engine.Outcome{Kind: engine.UnprovenAnswer, Status: status})
+		if got.Result != want || !got.PossiblyExecuted || got.Final {
+			t.Errorf("%d: %+v, want result %d, possibly executed", status, got, want)
+		}
+	}
+}
