--- a/internal/outbound/assign_test.go
+++ b/internal/outbound/assign_test.go
@@ -51,6 +51,27 @@
 	}
 }
 
+// Guards against a needless connection, and against a refusal without a proof: where answers name their messages, a message that may
+// not be repeated follows a delivery on its connection, but not a refusal.
+func TestConnectionThatNamesMessages(t *testing.T) {
+	tp := newTestPoolFrom(t, func(cfg *Config) { cfg.ProofConns = 2 })
+	tp.start(namedPrefix + "a")
+	c := tp.conn()
+	tp.read(c)
+	_, _ = c.Write([]byte(okAnswer))
+	tp.wantEnd(engine.Answered, 200)
+	tp.startOnce(namedPrefix + "b")
+	if got := tp.read(c); !strings.Contains(got, "named-b") {
+		t.Errorf("%q behind a delivery", got)
+	}
+	_, _ = c.Write([]byte(busyAnswer))
+	tp.wantEnd(engine.Answered, 503)
+	tp.startOnce(namedPrefix + "c")
+	if got := tp.read(tp.conn()); !strings.Contains(got, "named-c") {
+		t.Errorf("%q on the new connection", got)
+	}
+}
+
 // Guards against a call that waits for a connection that is not to be opened: at the limit, the doubtful one is used.
 func TestProofConnsAreBounded(t *testing.T) {
 	tp, c := newDoubtfulConn(t, 1)
