An answer for a consumer without acknowledgements is out once it is written

(*Channel).deliver (internal/mailbox) kept no record of such an answer; (*delivery).Run in amqpfront, which writes it later, then found the consumer gone and rejected a tag that nobody had, or found the channel closed.

Change: the channel keeps the answer until Run reports it as written. If its consumer or its channel ends before, it returns to its place in the queue. The tag can't be acknowledged, as before, and it counts for no prefetch.

--- a/internal/amqpfront/methods.go
+++ b/internal/amqpfront/methods.go
@@ -263,9 +263,11 @@
 	answers := d.channel.session.server.answers
 	answers.Lock()
 	consuming := d.channel.reader.HasConsumer(d.answer.ConsumerTag)
-	if !consuming {
+	if consuming {
+		d.channel.reader.Written(now, d.answer.DeliveryTag)
+	} else {
 		// The consumer was cancelled after the answer was handed to it.
-		_ = d.channel.reader.Reject(now, d.answer.DeliveryTag, false, true)
+		d.channel.reader.Return(now, d.answer.DeliveryTag)
 	}
 	answers.Unlock()
 	if !consuming {
--- a/internal/mailbox/channel.go
+++ b/internal/mailbox/channel.go
@@ -16,7 +16,9 @@
 	sink      Sink
 	consumers map[string]*consumer
 	// unacked is sorted by delivery tag.
-	unacked         []unackedDelivery
+	unacked []unackedDelivery
+	// unwritten are the deliveries to consumers without acknowledgements that are not on their way yet.
+	unwritten       []unackedDelivery
 	lastDeliveryTag uint64
 	// channelPrefetch bounds the unacknowledged deliveries of the channel, 0 for no bound.
 	channelPrefetch int
@@ -40,7 +42,7 @@
 type unackedDelivery struct {
 	deliveryTag uint64
 	queue       *queue
-	// consumer is nil for an answer fetched by Get.
+	// consumer is nil for an answer fetched by Get, and for a consumer without acknowledgements.
 	consumer *consumer
 	answer   queuedAnswer
 }
@@ -56,19 +58,48 @@
 	return !c.channel.paused && (c.noAck || (c.prefetch == 0 || c.unacked < c.prefetch) && (c.channel.channelPrefetch == 0 || len(c.channel.unacked) < c.channel.channelPrefetch))
 }
 
-// deliver passes an answer to a consumer and, unless the consumer needs no acknowledgement, records it as
-// unacknowledged.
+// deliver passes an answer to a consumer and records it: as unacknowledged or, if the consumer needs no acknowledgement, as not
+// written.
 func (ch *Channel) deliver(q *queue, c *consumer, answer queuedAnswer) {
 	ch.lastDeliveryTag++
 	d := Delivery{ConsumerTag: c.tag, DeliveryTag: ch.lastDeliveryTag, Redelivered: answer.redelivered, Queue: q.name, Payload: answer.payload}
-	if !c.noAck {
+	q.unacked++
+	if c.noAck {
+		ch.unwritten = append(ch.unwritten, unackedDelivery{ch.lastDeliveryTag, q, nil, answer})
+	} else {
 		ch.unacked = append(ch.unacked, unackedDelivery{ch.lastDeliveryTag, q, c, answer})
 		c.unacked++
-		q.unacked++
 	}
 	ch.sink.Deliver(d)
 }
 
+// Written reports that a delivery is on its way to its consumer. One that needs no acknowledgement is settled by that; for others
+// nothing changes.
+func (ch *Channel) Written(now time.Duration, tag uint64) {
+	ch.release(now, ch.takeUnwritten(tag), false)
+}
+
+// Return requeues a delivery that was not written, because its consumer has been cancelled. It does nothing if the delivery is
+// settled.
+func (ch *Channel) Return(now time.Duration, tag uint64) {
+	if unwritten := ch.takeUnwritten(tag); unwritten != nil {
+		ch.release(now, unwritten, true)
+		return
+	}
+	_ = ch.Reject(now, tag, false, true)
+}
+
+// takeUnwritten removes a delivery from unwritten and returns it, or nil if it is not there.
+func (ch *Channel) takeUnwritten(tag uint64) []unackedDelivery {
+	i := slices.IndexFunc(ch.unwritten, func(u unackedDelivery) bool { return u.deliveryTag == tag })
+	if i < 0 {
+		return nil
+	}
+	taken := []unackedDelivery{ch.unwritten[i]}
+	ch.unwritten = slices.Delete(ch.unwritten, i, i+1)
+	return taken
+}
+
 // Consume adds a consumer to a queue and returns its tag. For an empty tag it generates one. Call StartDeliveries after
 // it. Errors are ErrNotFound, ErrLocked, ErrConsumerTagInUse and ErrInUse.
 func (ch *Channel) Consume(queue, tag string, noAck, exclusive bool) (string, error) {
@@ -231,10 +262,10 @@
 	}
 }
 
-// Close removes all consumers of the channel and requeues its unacknowledged deliveries.
+// Close removes all consumers of the channel and requeues its deliveries that are not acknowledged, or not written.
 func (ch *Channel) Close(now time.Duration) {
-	returned := ch.unacked
-	ch.unacked = nil
+	returned := slices.Concat(ch.unacked, ch.unwritten)
+	ch.unacked, ch.unwritten = nil, nil
 	consumers := ch.consumers
 	ch.consumers = map[string]*consumer{}
 	// All consumers are detached first, so that none of them gets a requeued answer.
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/mailbox/mailbox_test.go
@@ -304,3 +304,36 @@
 		}
 	})
 }
+
+// Guards against an answer that is lost because a consumer without acknowledgements counted as having it before it was written: the
+// consumer, or its channel, may end first.
+func TestAnswerThatIsNotWritten(t *testing.T) {
+	const now = time.Second
+	for name, test := range map[string]struct {
+		end      func(ch *Channel, tag uint64)
+		wantLeft int
+	}{
+		"cancelled before":  {func(ch *Channel, tag uint64) { ch.Cancel(now, "c"); ch.Return(now, tag) }, 1},
+		"closed before":     {func(ch *Channel, _ uint64) { ch.Close(now) }, 1},
+		"written":           {func(ch *Channel, tag uint64) { ch.Written(now, tag); ch.Close(now) }, 0},
+		"written, returned": {func(ch *Channel, tag uint64) { ch.Written(now, tag); ch.Return(now, tag) }, 0},
+	} {
+		b := newTestBroker(t, QueueSpec{Name: "q"})
+		sink := &recordingSink{}
+		ch := b.Channel(0, 1, sink)
+		if _, err := ch.Consume("q", "c", true, false); err != nil {
+			t.Fatal(err)
+		}
+		putAnswer(t, b, "q", "answer")
+		test.end(ch, sink.deliveries[0].DeliveryTag)
+		if err := ch.Ack(now, sink.deliveries[0].DeliveryTag, false); !errors.Is(err, ErrUnknownDelivery) {
+			t.Errorf("%s: acknowledged with %v", name, err)
+		}
+		if left, err := b.Peek(now, 0, "q", 9); err != nil || len(left) != test.wantLeft {
+			t.Errorf("%s: %d answers left, %v, want %d", name, len(left), err, test.wantLeft)
+		}
+		if _, answers := b.Usage(); answers != test.wantLeft {
+			t.Errorf("%s: %d answers counted, want %d", name, answers, test.wantLeft)
+		}
+	}
+}
