--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -388,8 +388,8 @@
 	cancel()
 	n.end()
 	st, answers := n.loop.Stats(), n.pool.AnswerCounts()
-	n.log.Info("node", "stopped: %d taken, %d delivered, %d refused, %d failed, %d stay in the ledger, %d violations prevented, %d copies of answers, %d taken back, %d ended in doubt",
-		st.Accepted, st.Served, st.Refused, st.Failed, st.Open, st.Violations, answers.Copies, answers.TakenBack, st.EndedInDoubt)
+	n.log.Info("node", "stopped: %d taken, %d delivered, %d refused, %d failed, %d stay in the ledger, %d violations prevented, %d copies of answers, %d taken back, %d not confirmed, %d ended in doubt",
+		st.Accepted, st.Served, st.Refused, st.Failed, st.Open, st.Violations, answers.Copies, answers.TakenBack, answers.Unconfirmed, st.EndedInDoubt)
 }
 
 // Kill ends the dispatcher at once, as a crash would, except that it closes the sockets.
