A call that waits for a proof does not keep those behind it

Cause: assignPending stopped at the first call that found no connection. One that waits up to 150 ms for a new connection, although one that proves less is free, held up the calls behind it, which would use that.

Test: TestWaitForAProofKeepsNoOther; before, the call behind it was written only after that one, which had waited in vain.

--- a/internal/outbound/assign.go
+++ b/internal/outbound/assign.go
@@ -116,13 +116,22 @@
 	return chosen, chosenRank
 }
 
-// assignPending assigns pending calls to connections, in order, until one finds no capacity. Pool.mu must be held.
+// assignPending assigns pending calls to connections, in order, while any has capacity. A call that waits for a proof does not keep
+// those behind it. Pool.mu must be held.
 func (p *Pool) assignPending(s *endpointPool) {
-	n := 0
-	for n < len(s.pending) && p.assign(s.pending[n]) {
-		n++
+	waiting := s.pending[:0]
+	for i, k := range s.pending {
+		if p.assign(k) {
+			continue
+		}
+		waiting = append(waiting, k)
+		if free, _ := p.chooseConn(s, false); free == nil {
+			waiting = append(waiting, s.pending[i+1:]...)
+			break
+		}
 	}
-	s.pending = append(s.pending[:0], s.pending[n:]...)
+	clear(s.pending[len(waiting):])
+	s.pending = waiting
 }
 
 const (
--- a/internal/outbound/assign_test.go
+++ b/internal/outbound/assign_test.go
@@ -81,6 +81,23 @@
 	}
 }
 
+// Guards against calls that wait behind one that waits for a proof, while a connection is free.
+func TestWaitForAProofKeepsNoOther(t *testing.T) {
+	tp, c := newDoubtfulConn(t, 2)
+	tp.start("c")
+	tp.read(c)
+	tp.p.mu.Lock()
+	tp.p.endpoints[1].dialing += 2 // Dials that never end.
+	tp.p.mu.Unlock()
+	tp.startOnce("d")
+	tp.start("e")
+	_, _ = c.Write([]byte(okAnswer))
+	tp.wantProvisional()
+	if got := tp.read(c); !strings.Contains(got, "/e") {
+		t.Errorf("%q on the connection that became free", got)
+	}
+}
+
 // Guards against a call that waits for good: if no new connection comes up in time, the doubtful one is used.
 func TestWaitForAProofIsBounded(t *testing.T) {
 	tp, c := newDoubtfulConn(t, 2)
