No wait for a new connection where answers name their messages

So the waits cost it: messages that may not be repeated go to endpoints that take ten a call there, most calls have one, and a new connection takes two round trips, during which a slot is held.

Change: where answers can name their messages, such a message still prefers a connection on which a refusal would be proven, but does not wait for a new one.

--- a/internal/outbound/assign.go
+++ b/internal/outbound/assign.go
@@ -71,11 +71,12 @@
 
 // assign puts a call on a connection that has capacity, and reports whether it did. Of several connections of the best rank it takes
 // the first: calls that start together then share a connection where they can and leave in one write. A call that needs a proof may
-// have to wait for a new connection. Pool.mu must be held.
+// have to wait for a new connection, but not where answers can name their messages: there only a refusal soon behind another one has
+// no proof. Pool.mu must be held.
 func (p *Pool) assign(k *call) bool {
 	needsProof := k.needsProof()
 	chosen, rank := p.chooseConn(k.endpoint, needsProof)
-	if chosen == nil || needsProof && !chosen.proves(rank) && p.awaitsProof(k) {
+	if chosen == nil || needsProof && rank != anyAnswerProven && !chosen.canName && p.awaitsProof(k) {
 		return false
 	}
 	k.conn = chosen
@@ -85,12 +86,6 @@
 	return true
 }
 
-// proves reports whether any answer to the next call would be proven on a connection of this rank. A delivery that names its message
-// is proven where a refusal is. Pool.mu must be held.
-func (c *conn) proves(rank proofRank) bool {
-	return rank == anyAnswerProven || rank == refusalProven && c.canName
-}
-
 // chooseConn returns the best connection to an endpoint for a call, or nil if none has capacity. A connection that has been idle for longer than
 // IdleTimeout is skipped, because its peer may be closing it. While copies of answers are expected, a connection is skipped until its
 // next answer is sure to be proven. Pool.mu must be held.
