--- a/internal/outbound/assign.go
+++ b/internal/outbound/assign.go
@@ -86,9 +86,9 @@
 	return true
 }
 
-// chooseConn returns the best connection to an endpoint for a call, or nil if none has capacity. A connection that has been idle for longer than
-// IdleTimeout is skipped, because its peer may be closing it. While copies of answers are expected, a connection is skipped until its
-// next answer is sure to be proven. Pool.mu must be held.
+// chooseConn returns the best connection to an endpoint for a call, or nil if none has capacity. A connection that has been idle for
+// longer than IdleTimeout is skipped, because its peer may be closing it. While copies of answers are expected, a connection is skipped
+// until its next answer is sure to be proven. Pool.mu must be held.
 func (p *Pool) chooseConn(s *endpointPool, needsProof bool) (chosen *conn, chosenRank proofRank) {
 	now := p.clock.Now()
 	idleBefore := now - control.Time(p.cfg.IdleTimeout/time.Microsecond)
