Deliveries that nothing confirms are described only where a line is written

Change: recordNotCounted takes a function that describes the answer, and calls it where the line is written; the clock is read for answers that are settled only. Counts, lines and ends are as before.

--- a/internal/outbound/http1answers.go
+++ b/internal/outbound/http1answers.go
@@ -132,16 +132,17 @@
 
 // settleProvisional reports the end of all provisional answers, for a reason that the trace tells.
 func (s *h1Session) settleProvisional(result settlement, reason string) {
-	p, now := s.conn.pool, s.conn.pool.elapsed()
-	kind := engine.DeliveryUnproven
+	p, kind := s.conn.pool, engine.DeliveryUnproven
 	if result == confirmed {
 		kind = engine.DeliveryConfirmed
 	}
 	for _, a := range s.provisional.take(result == confirmed) {
 		p.cfg.Trace("endpoint %d: delivery of message %s by attempt %d, on connection %d, confirmed %v, %d ms behind the first that was provisional: %s",
-			s.conn.endpoint.id, a.Message.ExternalID, a.Number, s.conn.number, result == confirmed, (now - s.provisional.since).Milliseconds(), reason)
+			s.conn.endpoint.id, a.Message.ExternalID, a.Number, s.conn.number, result == confirmed, (p.elapsed() - s.provisional.since).Milliseconds(), reason)
 		if result != confirmed {
-			s.recordNotCounted(result, fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number))
+			s.recordNotCounted(result, func() string {
+				return fmt.Sprintf("delivery of message %s by attempt %d", a.Message.ExternalID, a.Number)
+			})
 		}
 		p.report(engine.Outcome{Seq: a.Seq, Kind: kind})
 	}
@@ -238,14 +239,15 @@
 			ends[i].Status = s.held.ends[i].Status
 		}
 	}
-	s.recordNotCounted(result, reason+", messages out: "+s.request.names())
+	s.recordNotCounted(result, func() string { return reason + ", messages out: " + s.request.names() })
 	s.finish(ends)
 }
 
-// recordNotCounted counts an answer that does not count. It reports one for which there is a sign of another answer.
-func (s *h1Session) recordNotCounted(result settlement, description string) {
+// recordNotCounted counts an answer that does not count. It reports one for which there is a sign of another answer; only these are
+// described, since the others are many.
+func (s *h1Session) recordNotCounted(result settlement, describe func() string) {
 	if result == takenBack {
-		s.conn.pool.recordTakenBack(s.conn, description)
+		s.conn.pool.recordTakenBack(s.conn, describe())
 		return
 	}
 	s.conn.pool.count(s.conn, func(counts *AnswerCounts) *uint64 { return &counts.Unconfirmed })
