--- a/internal/platform/listcopies_test.go
+++ b/internal/platform/listcopies_test.go
@@ -32,7 +32,7 @@
 	a := newAgent(netip.MustParseAddrPort(ln.Addr().String()))
 	defer a.stop()
 	// The version known before is higher, because discovery counts anew.
-	go newWatcher(a, clock.StartStopwatch().Elapsed, 9, func(l EndpointList) { versions <- l.Seq }, func(string, ...any) {}).run()
+	go newWatcher(a, clock.StartStopwatch().Elapsed, 9, func(l EndpointList) { versions <- l.Seq }, func(string, ...any) {}, nil).run()
 	for _, want := range []int64{5, 6, 7} {
 		if got := <-versions; got != want {
 			t.Errorf("list of version %d, want %d", got, want)
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -252,7 +252,7 @@
 		known = last
 	}
 	n.applyList(known, control.ListCached)
-	go newWatcher(n.agent, n.elapsed, known.Seq, n.receiveList, n.warnLogger("discovery")).run()
+	go newWatcher(n.agent, n.elapsed, known.Seq, n.receiveList, n.warnLogger("discovery"), n.debugLogger()).run()
 	wait := time.NewTimer(firstListTimeout)
 	defer wait.Stop()
 	select {
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -21,11 +21,24 @@
 	// onList is called for each list or change, in order.
 	onList func(EndpointList)
 	log    func(format string, a ...any)
+	// trace logs each watch that is opened, heard or closed. It may be nil.
+	trace func(format string, a ...any)
 
-	plan watchPlan
-	// cancels holds the function that closes each open watch, by id.
-	cancels map[uint64]context.CancelFunc
-	events  chan watchEvent
+	plan    watchPlan
+	silence discoverySilence
+	// open holds the open watches by id.
+	open   map[uint64]*watchHandle
+	events chan watchEvent
+}
+
+// watchHandle is an open watch.
+type watchHandle struct {
+	// close closes it.
+	close context.CancelFunc
+	// openedAt is when it was opened.
+	openedAt time.Duration
+	// heard tells that it has shown a sign of life.
+	heard bool
 }
 
 // watchEvent reports a list, a heartbeat or the end of a watch.
@@ -39,8 +52,12 @@
 }
 
 // newWatcher returns a watcher that continues from version seq and passes lists to onList once run is called.
-func newWatcher(a *agent, now func() time.Duration, seq int64, onList func(EndpointList), log func(string, ...any)) *watcher {
-	return &watcher{agent: a, now: now, seq: seq, onList: onList, log: log, cancels: map[uint64]context.CancelFunc{}, events: make(chan watchEvent)}
+func newWatcher(a *agent, now func() time.Duration, seq int64, onList func(EndpointList), log, trace func(string, ...any)) *watcher {
+	if trace == nil {
+		trace = func(string, ...any) {}
+	}
+	return &watcher{agent: a, now: now, seq: seq, onList: onList, log: log, trace: trace, open: map[uint64]*watchHandle{}, events: make(chan watchEvent),
+		silence: newDiscoverySilence(now())}
 }
 
 // run watches until the agent is stopped.
@@ -57,28 +74,41 @@
 		case <-changed:
 			changed = w.agent.addressChange()
 			w.seq = 0
-			w.cancelWatches(w.plan.closeAll())
+			w.closeWatches(w.plan.closeAll(), "discovery's address has changed")
+			w.silence = newDiscoverySilence(w.now())
 		case e := <-w.events:
 			w.handleEvent(e)
 		case <-timer.C:
 		}
 		now := w.now()
 		toClose, toOpen, next := w.plan.step(now)
-		w.cancelWatches(toClose)
+		w.closeWatches(toClose, "another one takes its place")
 		if toOpen > 0 {
-			ctx, stop := context.WithCancel(ctx)
-			w.cancels[toOpen] = stop
-			go w.watch(ctx, toOpen, w.seq)
+			w.openWatch(ctx, toOpen)
+		}
+		if text := w.silence.report(now); text != "" {
+			w.log("%s: the list of version %d stays in force", text, w.seq)
 		}
 		timer.Reset(max(0, next-now))
 	}
 }
 
-// cancelWatches closes watches.
-func (w *watcher) cancelWatches(ids []uint64) {
+// openWatch opens a watch.
+func (w *watcher) openWatch(ctx context.Context, id uint64) {
+	ctx, stop := context.WithCancel(ctx)
+	w.open[id] = &watchHandle{close: stop, openedAt: w.now()}
+	w.silence.opened++
+	w.trace("watch %d: opened from version %d", id, w.seq)
+	go w.watch(ctx, id, w.seq)
+}
+
+// closeWatches closes watches for a reason.
+func (w *watcher) closeWatches(ids []uint64, reason string) {
 	for _, id := range ids {
-		w.cancels[id]()
-		delete(w.cancels, id)
+		state := w.open[id]
+		w.trace("watch %d: closed after %v, heard before %v: %s", id, w.now()-state.openedAt, state.heard, reason)
+		state.close()
+		delete(w.open, id)
 	}
 }
 
@@ -86,16 +116,27 @@
 func (w *watcher) handleEvent(e watchEvent) {
 	if e.err != nil {
 		// A watch that was closed here needs no more handling.
-		if w.cancels[e.id] != nil {
+		if w.open[e.id] != nil {
 			w.log("watch ended: %v", e.err)
 			w.plan.remove(e.id)
-			w.cancelWatches([]uint64{e.id})
+			w.closeWatches([]uint64{e.id}, "it has ended")
 		}
 		return
 	}
-	superseded, ok := w.plan.recordActivity(e.id, w.now())
-	w.cancelWatches(superseded)
-	if !ok || e.list == nil {
+	now := w.now()
+	superseded, ok := w.plan.recordActivity(e.id, now)
+	w.closeWatches(superseded, "another one is heard")
+	if !ok {
+		return
+	}
+	if state := w.open[e.id]; !state.heard {
+		state.heard = true
+		w.trace("watch %d: heard after %v", e.id, now-state.openedAt)
+	}
+	if text := w.silence.end(now, now-w.open[e.id].openedAt); text != "" {
+		w.log("%s", text)
+	}
+	if e.list == nil {
 		return
 	}
 	// A new watch may start from a version before the last changes that the previous watch delivered. Such
