--- a/internal/platform/agent.go
+++ b/internal/platform/agent.go
@@ -106,6 +106,13 @@
 	_ = c.Close()
 }
 
+// address returns the present address.
+func (a *agent) address() netip.AddrPort {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.addr
+}
+
 // addressChange returns a channel that is closed at the next change of the address.
 func (a *agent) addressChange() <-chan struct{} {
 	a.mu.Lock()
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
+	"net/netip"
 	"time"
 
 	"whinrun/internal/h1"
@@ -15,9 +17,9 @@
 type watcher struct {
 	agent *agent
 	now   func() time.Duration
-	// seq is the version of the list that was passed on last. It is 0 after a change of the address, when any
-	// version counts.
-	seq int64
+	// source is the address that the list in force came from, and seq its version there. Another address may count anew.
+	source netip.AddrPort
+	seq    int64
 	// onList is called for each list or change, in order.
 	onList func(EndpointList)
 	log    func(format string, a ...any)
@@ -35,18 +37,22 @@
 type watchHandle struct {
 	// close closes it.
 	close context.CancelFunc
+	// address is the address that it was opened to.
+	address netip.AddrPort
 	// openedAt is when it was opened.
 	openedAt time.Duration
 	// heard tells that it has shown a sign of life.
 	heard bool
 }
 
-// watchEvent reports a list, a heartbeat or the end of a watch.
+// watchEvent reports a list, a heartbeat, a part of a list or the end of a watch.
 type watchEvent struct {
 	// id identifies the watch.
 	id uint64
-	// list is the list that was read, nil for a heartbeat or the end.
+	// list is the list that was read, nil for a heartbeat, a part or the end.
 	list *EndpointList
+	// part tells that bytes have arrived that complete nothing.
+	part bool
 	// err is why the watch ended, nil otherwise.
 	err error
 }
@@ -56,7 +62,7 @@
 	if trace == nil {
 		trace = func(string, ...any) {}
 	}
-	return &watcher{agent: a, now: now, seq: seq, onList: onList, log: log, trace: trace, open: map[uint64]*watchHandle{}, events: make(chan watchEvent),
+	return &watcher{agent: a, now: now, source: a.address(), seq: seq, onList: onList, log: log, trace: trace, open: map[uint64]*watchHandle{}, events: make(chan watchEvent),
 		silence: newDiscoverySilence(now())}
 }
 
@@ -67,14 +73,14 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	changed := w.agent.addressChange()
+	w.plan.setAddress(w.agent.address())
 	for {
 		select {
 		case <-w.agent.quit:
 			return
 		case <-changed:
 			changed = w.agent.addressChange()
-			w.seq = 0
-			w.closeWatches(w.plan.closeAll(), "discovery's address has changed")
+			w.plan.setAddress(w.agent.address())
 			w.silence = newDiscoverySilence(w.now())
 		case e := <-w.events:
 			w.handleEvent(e)
@@ -96,10 +102,15 @@
 // openWatch opens a watch.
 func (w *watcher) openWatch(ctx context.Context, id uint64) {
 	ctx, stop := context.WithCancel(ctx)
-	w.open[id] = &watchHandle{close: stop, openedAt: w.now()}
+	address := w.plan.address
+	from := int64(0)
+	if address == w.source {
+		from = w.seq
+	}
+	w.open[id] = &watchHandle{close: stop, address: address, openedAt: w.now()}
 	w.silence.opened++
-	w.trace("watch %d: opened from version %d", id, w.seq)
-	go w.watch(ctx, id, w.seq)
+	w.trace("watch %d: opened to %v from version %d", id, address, from)
+	go w.watch(ctx, id, address, from)
 }
 
 // closeWatches closes watches for a reason.
@@ -124,31 +135,45 @@
 		return
 	}
 	now := w.now()
+	if e.part {
+		w.plan.recordReceived(e.id, now)
+		return
+	}
 	superseded, ok := w.plan.recordActivity(e.id, now)
 	w.closeWatches(superseded, "another one is heard")
 	if !ok {
 		return
 	}
-	if state := w.open[e.id]; !state.heard {
+	state := w.open[e.id]
+	if !state.heard {
 		state.heard = true
 		w.trace("watch %d: heard after %v", e.id, now-state.openedAt)
 	}
-	if text := w.silence.end(now, now-w.open[e.id].openedAt); text != "" {
-		w.log("%s", text)
+	if state.address == w.plan.address {
+		if text := w.silence.end(now, now-state.openedAt); text != "" {
+			w.log("%s", text)
+		}
+	}
+	if e.list != nil {
+		w.passOn(e.list, state.address)
 	}
-	if e.list == nil {
+}
+
+// passOn passes on a list from an address. Changes continue only the list of their own address: those of an earlier address that
+// the list in force did not come from are skipped. A new watch may start from a version before the last changes that the previous
+// watch delivered. Such changes are known already and are skipped, too.
+func (w *watcher) passOn(l *EndpointList, from netip.AddrPort) {
+	if from != w.plan.address && from != w.source {
 		return
 	}
-	// A new watch may start from a version before the last changes that the previous watch delivered. Such
-	// changes are known already and are skipped.
-	if l := e.list; l.Whole || l.Seq >= w.seq {
-		w.seq = l.Seq
+	if l.Whole || from != w.source || l.Seq >= w.seq {
+		w.source, w.seq = from, l.Seq
 		w.onList(*l)
 	}
 }
 
 // watch runs one watch until it ends or ctx does, and reports its end.
-func (w *watcher) watch(ctx context.Context, id uint64, from int64) {
+func (w *watcher) watch(ctx context.Context, id uint64, address netip.AddrPort, from int64) {
 	send := func(e watchEvent) {
 		e.id = id
 		select {
@@ -157,21 +182,24 @@
 		case <-w.agent.quit:
 		}
 	}
-	send(watchEvent{err: w.follow(ctx, from, send)})
+	send(watchEvent{err: w.follow(ctx, address, from, send)})
 }
 
 // follow opens a connection, requests the changes since version from, and passes on what it reads until the
-// watch ends.
-func (w *watcher) follow(ctx context.Context, from int64, send func(watchEvent)) error {
-	c, _, err := w.agent.connect(ctx)
+// watch ends. Only ctx limits how long connecting and waiting may take.
+func (w *watcher) follow(ctx context.Context, address netip.AddrPort, from int64, send func(watchEvent)) error {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return err
 	}
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	// complete counts the lists and heartbeats.
+	complete := 0
 	// The first list may have any version, because discovery may count anew.
 	latest := int64(math.MinInt64)
 	onList := func(l EndpointList) {
+		complete++
 		// The versions of one watch only rise. A lower one is a second copy of a list, and would undo later changes.
 		if l.Seq < latest {
 			w.log("list of version %d behind version %d on one watch: skipped", l.Seq, latest)
@@ -181,13 +209,21 @@
 		latest = l.Seq
 		send(watchEvent{list: &l})
 	}
-	r := &listReader{onList: onList, onHeartbeat: func() { send(watchEvent{}) }}
+	r := &listReader{onList: onList, onHeartbeat: func() {
+		complete++
+		send(watchEvent{})
+	}}
 	_, err = c.Write(h1.AppendHead(nil, fmt.Sprintf("GET /v1/endpoints?watch=1&from=%d HTTP/1.1", from), "Host", "discovery"))
 	buf := make([]byte, 16<<10)
 	for err == nil {
 		var n int
-		if n, err = c.Read(buf); n > 0 {
-			err = errors.Join(r.read(buf[:n]), err)
+		if n, err = c.Read(buf); n == 0 {
+			continue
+		}
+		before := complete
+		err = errors.Join(r.read(buf[:n]), err)
+		if complete == before {
+			send(watchEvent{part: true})
 		}
 	}
 	return err
--- a/internal/testbed/agent.go
+++ b/internal/testbed/agent.go
@@ -44,6 +44,10 @@
 	silencedWatches int
 	// openedWatches counts the watches so far.
 	openedWatches int
+	// brokenWatches is the number of the last watch whose connection is closed.
+	brokenWatches int
+	// pace tells how slowly requests are answered.
+	pace AgentPace
 	// indent formats lists over several lines.
 	indent bool
 	// noticeStatus returns the status of the answer to a request with notices, 0 for 204 after they are recorded.
@@ -199,19 +203,26 @@
 	flusher := w.(http.Flusher)
 	a.mu.Lock()
 	a.openedWatches++
-	watch := a.openedWatches
+	watch, pace := a.openedWatches, a.pace
 	a.mu.Unlock()
 	a.testbed.Record(Event{Kind: WatchOpened})
 	for first := true; ; {
 		a.mu.Lock()
-		changed, muted := a.changed, a.muted || watch <= a.silencedWatches
-		text := ""
+		changed, muted, broken := a.changed, a.muted || watch <= a.silencedWatches, watch <= a.brokenWatches
+		text, slow := "", first && pace.FirstList > 0
 		if !muted && (first || from < a.version) {
 			text, first, from = a.changesSince(from), false, a.version
 		}
 		a.mu.Unlock()
-		_, _ = io.WriteString(w, text)
-		flusher.Flush()
+		if broken {
+			panic(http.ErrAbortHandler)
+		}
+		if !slow || text == "" {
+			_, _ = io.WriteString(w, text)
+			flusher.Flush()
+		} else if !a.writeSlowly(w, r, text, pace) {
+			return
+		}
 		if text != "" {
 			a.testbed.Record(Event{Kind: ListSent})
 		}
@@ -253,7 +264,7 @@
 // serveNotices records the notices of a request, one JSON value each.
 func (a *Agent) serveNotices(w http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
-	noticeStatus := a.noticeStatus
+	noticeStatus, pace := a.noticeStatus, a.pace
 	a.mu.Unlock()
 	status, kind := noticeStatus(), NoticeReceived
 	if status != 0 {
@@ -271,5 +282,6 @@
 		}
 		a.testbed.Record(Event{Kind: kind, Name: notice.ID, Text: notice.Status, Wait: time.Duration(notice.Again) * time.Millisecond})
 	}
+	time.Sleep(pace.Notices)
 	w.WriteHeader(cmp.Or(status, 204))
 }
