--- a/internal/platform/agent.go
+++ b/internal/platform/agent.go
@@ -6,18 +6,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"time"
-)
-
-// Times of the connections to the platform's agent. The agent runs on the same machine: it answers at once or
-// is down.
-const (
-	// agentTimeout bounds a connection attempt and a request with notices.
-	agentTimeout = time.Second
-	// noticeBackoffMin is the first delay before notices are sent again after a failure.
-	noticeBackoffMin = 100 * time.Millisecond
-	// noticeBackoffMax is the longest delay before notices are sent again.
-	noticeBackoffMax = time.Second
 )
 
 // agent is the platform's agent, which serves discovery and takes notices. Its address may change at run
@@ -27,15 +15,18 @@
 	addr netip.AddrPort
 	// conns holds the connections that a change of the address closes.
 	conns map[net.Conn]struct{}
-	// addrChanged is closed and replaced when the address changes.
-	addrChanged chan struct{}
+	// present ends when the address changes or the agent is stopped, by leave. Each address has a context of its own.
+	present context.Context
+	leave   context.CancelFunc
 	// quit is closed by stop.
 	quit chan struct{}
 }
 
 // newAgent returns the agent at an address.
 func newAgent(addr netip.AddrPort) *agent {
-	return &agent{addr: addr, conns: map[net.Conn]struct{}{}, addrChanged: make(chan struct{}), quit: make(chan struct{})}
+	a := &agent{addr: addr, conns: map[net.Conn]struct{}{}, quit: make(chan struct{})}
+	a.present, a.leave = context.WithCancel(context.Background())
+	return a
 }
 
 // setAddress changes the address and closes the connections that dial opened to the old one.
@@ -49,8 +40,8 @@
 	for c := range a.conns {
 		_ = c.Close()
 	}
-	close(a.addrChanged)
-	a.addrChanged = make(chan struct{})
+	a.leave()
+	a.present, a.leave = context.WithCancel(context.Background())
 }
 
 // stop closes all connections permanently.
@@ -58,6 +49,7 @@
 	close(a.quit)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.leave()
 	for c := range a.conns {
 		_ = c.Close()
 	}
@@ -73,25 +65,22 @@
 	}
 }
 
-// connect opens a connection that the caller owns and returns it with the address it leads to.
-func (a *agent) connect(ctx context.Context) (net.Conn, netip.AddrPort, error) {
+// dial opens a connection that is closed when the address changes or the agent is stopped. Until then, only ctx limits how long
+// that may take.
+func (a *agent) dial(ctx context.Context) (net.Conn, error) {
 	a.mu.Lock()
-	addr := a.addr
+	addr, present := a.addr, a.present
 	a.mu.Unlock()
-	d := net.Dialer{Timeout: agentTimeout}
-	c, err := d.DialContext(ctx, "tcp", addr.String())
-	return c, addr, err
-}
-
-// dial opens a connection that is closed when the address changes or the agent is stopped.
-func (a *agent) dial() (net.Conn, error) {
-	c, addr, err := a.connect(context.Background())
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(present, stop)()
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.addr != addr || a.stopped() {
+	if present.Err() != nil {
 		return nil, errors.Join(errors.New("agent address changed or agent stopped while connecting"), c.Close())
 	}
 	a.conns[c] = struct{}{}
@@ -117,20 +106,5 @@
 func (a *agent) addressChange() <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.addrChanged
-}
-
-// wait waits before a retry, until d has passed or the address changes. It returns false if the agent is
-// stopped.
-func (a *agent) wait(d time.Duration) bool {
-	changed := a.addressChange()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-changed:
-	case <-a.quit:
-		return false
-	}
-	return true
+	return a.present.Done()
 }
--- a/internal/platform/agentcopies_test.go
+++ b/internal/platform/agentcopies_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"whinrun/internal/clock"
 	"whinrun/internal/ledger"
 	"whinrun/internal/testbed"
 )
@@ -63,7 +64,7 @@
 	}
 	a := newAgent(netip.MustParseAddrPort(ln.Addr().String()))
 	acknowledged := make(chan []string, 1)
-	n := newNoticeSender(a, func(names []string) { acknowledged <- names }, func(string, ...any) {})
+	n := newNoticeSender(a, clock.StartStopwatch().Elapsed, func(names []string) { acknowledged <- names }, func(string, ...any) {})
 	go n.run()
 	c, err := ln.Accept()
 	if err != nil {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -138,7 +138,7 @@
 	if err := n.openPool(budget, adapter); err != nil {
 		return err
 	}
-	n.notices = newNoticeSender(n.agent, adapter.acknowledge, n.warnLogger("notices"))
+	n.notices = newNoticeSender(n.agent, n.elapsed, adapter.acknowledge, n.warnLogger("notices"))
 	adapter.notices = n.notices
 	settings := *set
 	settings.HasPredecessor = n.ledger.Reopened()
--- a/internal/platform/notices.go
+++ b/internal/platform/notices.go
@@ -1,46 +1,78 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"strconv"
 	"sync"
+	"time"
 
-	"whinrun/internal/clock"
 	"whinrun/internal/h1"
 	"whinrun/internal/ledger"
 )
 
-// maxNoticesPerRequest is the largest number of notices in one request. It keeps the body far below 64 KiB.
-const maxNoticesPerRequest = 128
-
-// noticeSender sends notices to the platform in order and repeats each until it is acknowledged.
+// noticeSender sends notices to the platform and repeats each until it is acknowledged. A noticePlan decides what is sent when.
 type noticeSender struct {
 	agent *agent
+	now   func() time.Duration
 	// onAcknowledged is called with the message ids of acknowledged notices.
 	onAcknowledged func(names []string)
 	log            func(format string, a ...any)
 
 	mu sync.Mutex
-	// queue holds the notices that are not acknowledged, oldest first.
-	queue []ledger.Notice
+	// added holds the notices that run has not seen yet.
+	added []ledger.Notice
+	// count is the number of notices that are not acknowledged.
+	count int
 	// wake receives a value when a notice is added.
 	wake chan struct{}
 	// done is closed when run has returned.
 	done chan struct{}
+
+	// The fields below belong to the goroutine of run.
+
+	plan noticePlan
+	// open holds the function that closes each open request, by id.
+	open map[uint64]context.CancelFunc
+	// spare is a connection for the next request, nil if there is none. It is opened ahead, so that notices leave while
+	// descriptors are short.
+	spare net.Conn
+	// wantSpare tells that a spare connection is to be opened, and openingSpare that one is being opened.
+	wantSpare, openingSpare bool
+	// avoidSpare has the next request opened on a new connection, because one on a spare connection has failed.
+	avoidSpare bool
+	events     chan noticeEvent
+}
+
+// noticeEvent reports the end of a request, or a spare connection.
+type noticeEvent struct {
+	// request is the id of the request that has ended, 0 for a spare connection.
+	request uint64
+	// size is the number of notices of the request.
+	size int
+	// status is the status of its answer, 0 if err tells why there is none.
+	status int
+	err    error
+	// onSpare tells that the request was sent on a spare connection, which the agent may have closed before.
+	onSpare bool
+	// spare is a spare connection, nil if it could not be opened.
+	spare net.Conn
 }
 
 // newNoticeSender returns a sender that posts notices to agent a once run is called.
-func newNoticeSender(a *agent, onAcknowledged func([]string), log func(string, ...any)) *noticeSender {
-	return &noticeSender{agent: a, onAcknowledged: onAcknowledged, log: log, wake: make(chan struct{}, 1), done: make(chan struct{})}
+func newNoticeSender(a *agent, now func() time.Duration, onAcknowledged func([]string), log func(string, ...any)) *noticeSender {
+	return &noticeSender{agent: a, now: now, onAcknowledged: onAcknowledged, log: log, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		open: map[uint64]context.CancelFunc{}, wantSpare: true, events: make(chan noticeEvent)}
 }
 
 // enqueue adds notices. The queue needs no bound of its own: every notice is also in the ledger, which is
 // bounded.
 func (n *noticeSender) enqueue(all ...ledger.Notice) {
 	n.mu.Lock()
-	n.queue = append(n.queue, all...)
+	n.added = append(n.added, all...)
+	n.count += len(all)
 	n.mu.Unlock()
 	select {
 	case n.wake <- struct{}{}:
@@ -52,90 +84,160 @@
 func (n *noticeSender) waiting() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.queue)
+	return n.count
 }
 
-// run sends notices until the agent is stopped. A batch that the platform answers with status 400 is logged
-// and then counts as acknowledged.
+// run sends notices until the agent is stopped.
 func (n *noticeSender) run() {
 	defer close(n.done)
-	backoff := noticeBackoffMin
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	changed := n.agent.addressChange()
 	for {
-		// The connection of the next request is opened ahead of it, so that notices leave while descriptors are short.
-		spare, _ := n.agent.dial()
-		batch := n.nextBatch()
-		if len(batch) == 0 {
+		n.openSpare()
+		n.startRequests(timer)
+		select {
+		case <-n.agent.quit:
 			return
-		}
-		status, err := n.post(spare, batch)
-		if err == nil && (status == 204 || status == 200 || status == 400) {
-			if status == 400 {
-				n.log("%d notices were not understood", len(batch))
+		case <-changed:
+			if n.agent.stopped() {
+				return
 			}
-			n.dequeue(batch)
-			backoff = noticeBackoffMin
-			continue
-		}
-		if n.agent.stopped() {
-			return
-		}
-		n.log("%d notices wait: status %d, %v", n.waiting(), status, err)
-		if !n.agent.wait(backoff) {
-			return
+			changed = n.agent.addressChange()
+			n.discardSpare()
+			n.closeRequests(n.plan.restart()...)
+		case <-n.wake:
+		case e := <-n.events:
+			n.handleEvent(e)
+		case <-timer.C:
 		}
-		backoff = min(2*backoff, noticeBackoffMax)
 	}
 }
 
-// nextBatch waits for notices and returns the oldest ones. It returns none if the agent is stopped.
-func (n *noticeSender) nextBatch() []ledger.Notice {
+// startRequests starts the requests that are due, and sets the timer for the next one.
+func (n *noticeSender) startRequests(timer *time.Timer) {
+	n.mu.Lock()
+	added := n.added
+	n.added = nil
+	n.mu.Unlock()
+	now := n.now()
+	n.plan.add(added...)
 	for {
-		n.mu.Lock()
-		size := min(maxNoticesPerRequest, len(n.queue))
-		batch := n.queue[:size:size]
-		n.mu.Unlock()
-		if size > 0 {
-			return batch
+		toClose, request, next := n.plan.step(now)
+		if toClose > 0 {
+			n.closeRequests(toClose)
 		}
-		select {
-		case <-n.wake:
-		case <-n.agent.quit:
-			return nil
+		if request == nil {
+			timer.Stop()
+			if next > 0 {
+				timer.Reset(next - now)
+			}
+			return
 		}
+		n.start(request)
 	}
 }
 
-// post sends one request on a connection of its own and returns the status of its response. The response names no notice.
-// On a connection with earlier requests it could be a second copy of an earlier response. The connection spare is used if it
-// is not nil; the agent may have closed it meanwhile.
-func (n *noticeSender) post(spare net.Conn, batch []ledger.Notice) (int, error) {
-	if spare != nil {
-		status, err := postNotices(spare, batch)
-		n.agent.closeConn(spare)
-		if err == nil || n.agent.stopped() {
-			return status, err
-		}
+// start starts a request in a goroutine of its own, on the spare connection if there is one.
+func (n *noticeSender) start(r *noticeRequest) {
+	ctx, stop := context.WithCancel(context.Background())
+	n.open[r.id] = stop
+	body := encodeNotices(r.notices)
+	var spare net.Conn
+	if !n.avoidSpare {
+		spare, n.spare = n.spare, nil
 	}
-	c, err := n.agent.dial()
-	if err != nil {
-		return 0, err
+	n.avoidSpare = false
+	event := noticeEvent{request: r.id, size: len(r.notices), onSpare: spare != nil}
+	go func() {
+		event.status, event.err = n.post(ctx, spare, body)
+		n.send(event)
+	}()
+}
+
+// closeRequests closes requests.
+func (n *noticeSender) closeRequests(ids ...uint64) {
+	for _, id := range ids {
+		n.open[id]()
+		delete(n.open, id)
+	}
+}
+
+// send passes an event to run.
+func (n *noticeSender) send(e noticeEvent) {
+	select {
+	case n.events <- e:
+	case <-n.agent.quit:
+	}
+}
+
+// openSpare opens a spare connection if one is wanted and there is none.
+func (n *noticeSender) openSpare() {
+	if !n.wantSpare || n.spare != nil || n.openingSpare {
+		return
+	}
+	n.wantSpare, n.openingSpare = false, true
+	go func() {
+		c, _ := n.agent.dial(context.Background())
+		n.send(noticeEvent{spare: c})
+	}()
+}
+
+// discardSpare closes the spare connection and has another one opened.
+func (n *noticeSender) discardSpare() {
+	n.wantSpare = true
+	if n.spare != nil {
+		n.agent.closeConn(n.spare)
+		n.spare = nil
 	}
-	defer n.agent.closeConn(c)
-	return postNotices(c, batch)
 }
 
-// dequeue reports a batch as acknowledged and removes it from the queue.
-func (n *noticeSender) dequeue(batch []ledger.Notice) {
-	names := make([]string, len(batch))
-	for i := range batch {
-		names[i] = batch[i].Name
+// handleEvent handles the end of a request or a spare connection. A request that the platform answers with status 400 is logged
+// and then counts as acknowledged.
+func (n *noticeSender) handleEvent(e noticeEvent) {
+	if e.request == 0 {
+		n.openingSpare, n.spare = false, e.spare
+		return
 	}
-	n.onAcknowledged(names)
+	n.wantSpare = true
+	if n.open[e.request] != nil {
+		n.closeRequests(e.request)
+	}
+	if e.err != nil || e.status != 204 && e.status != 200 && e.status != 400 {
+		atOnce := e.onSpare && e.err != nil
+		n.avoidSpare = n.avoidSpare || atOnce
+		if n.plan.failed(e.request, n.now(), atOnce) && !atOnce {
+			n.log("%d notices wait: status %d, %v", n.waiting(), e.status, e.err)
+		}
+		return
+	}
+	if e.status == 400 {
+		n.log("%d notices were not understood", e.size)
+	}
+	acknowledged := n.plan.answered(e.request, n.now())
+	if len(acknowledged) == 0 {
+		return
+	}
+	n.onAcknowledged(acknowledged)
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.queue = n.queue[len(batch):]; len(n.queue) == 0 {
-		n.queue = nil
+	n.count -= len(acknowledged)
+	n.mu.Unlock()
+}
+
+// post sends one request on a connection of its own and returns the status of its response. The response names no notice. On a
+// connection with earlier requests it could be a second copy of an earlier response. The connection spare is used if it is not nil.
+// Only ctx limits how long connecting and waiting may take.
+func (n *noticeSender) post(ctx context.Context, spare net.Conn, body []byte) (int, error) {
+	c := spare
+	if c == nil {
+		var err error
+		if c, err = n.agent.dial(ctx); err != nil {
+			return 0, err
+		}
 	}
+	defer n.agent.closeConn(c)
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	return postNotices(c, body)
 }
 
 // outcome is one line of a request.
@@ -150,7 +252,7 @@
 }
 
 // encodeNotices returns the body of a request, with one JSON object a line.
-func encodeNotices(batch []ledger.Notice) (b []byte) {
+func encodeNotices(batch []*queuedNotice) (b []byte) {
 	for _, notice := range batch {
 		o := outcome{ID: notice.Name, Status: "undeliverable"}
 		if notice.Deferred {
@@ -164,9 +266,7 @@
 }
 
 // postNotices sends one request and returns the status of its response.
-func postNotices(c net.Conn, batch []ledger.Notice) (int, error) {
-	body := encodeNotices(batch)
-	_ = c.SetDeadline(clock.After(agentTimeout))
+func postNotices(c net.Conn, body []byte) (int, error) {
 	req := h1.AppendHead(nil, "POST /v1/outcomes HTTP/1.1", "Host", "discovery", "Content-Type", "application/x-ndjson",
 		"Connection", "close", "Content-Length", strconv.Itoa(len(body)))
 	if _, err := c.Write(append(req, body...)); err != nil {
--- a/internal/platform/slowdiscovery_test.go
+++ b/internal/platform/slowdiscovery_test.go
@@ -11,6 +11,9 @@
 // which what it has to tell counts as received.
 const slowFirstList = 3 * time.Second
 
+// afterReload and afterSilence are when what discovery has to tell counts as received, after SIGHUP and otherwise.
+const afterReload, afterSilence = 4 * time.Second, 6 * time.Second
+
 // reloadTo moves a dispatcher to another agent, as SIGHUP does, without waiting for it to be heard.
 func (d *testDispatcher) reloadTo(a *testbed.Agent) {
 	d.t.Helper()
@@ -23,7 +26,16 @@
 	d.node.Reload(cfg)
 }
 
-// newSlowAgent returns an agent whose watches are answered at a pace. It lists the endpoint old as gone and the endpoint next as ready.
+// replaceAt lists an endpoint as gone and another one as ready, which counts as received at a time.
+func replaceAt(at time.Time, a *testbed.Agent, old, next *testbed.Endpoint) {
+	entry := func(e *testbed.Endpoint, health string) testbed.EndpointEntry {
+		return testbed.EndpointEntry{Host: e.Host, Dial: e.Addr, Site: "east", Class: "single", Block: e.Dest, Health: health, Share: 1}
+	}
+	a.PublishAt(at, entry(old, "gone"), entry(next, "ready"))
+}
+
+// newSlowAgent returns an agent whose watches are answered at a pace. It lists the endpoint old as gone and the endpoint next as
+// ready, which counts as received 4 s from now.
 func (d *testDispatcher) newSlowAgent(pace testbed.AgentPace, old, next *testbed.Endpoint) *testbed.Agent {
 	d.t.Helper()
 	a, err := d.bed.Agent()
@@ -31,13 +43,8 @@
 		d.t.Fatal(err)
 	}
 	d.t.Cleanup(a.Close)
-	previous := d.agent
-	d.agent = a
-	d.setListed(old, "single", "ready")
 	a.SetPace(pace)
-	d.setListed(old, "single", "gone")
-	d.setListed(next, "single", "ready")
-	d.agent = previous
+	replaceAt(time.Now().Add(afterReload), a, old, next)
 	return a
 }
 
@@ -52,11 +59,11 @@
 	}{
 		"reload": {func(d *testDispatcher, old, next *testbed.Endpoint) time.Duration {
 			d.reloadTo(d.newSlowAgent(slow, old, next))
-			return 4 * time.Second
+			return afterReload
 		}},
 		"reload, list in pieces": {func(d *testDispatcher, old, next *testbed.Endpoint) time.Duration {
 			d.reloadTo(d.newSlowAgent(testbed.AgentPace{FirstList: slowFirstList, Pieces: 20}, old, next))
-			return 4 * time.Second
+			return afterReload
 		}},
 		"reload there and back": {func(d *testDispatcher, old, next *testbed.Endpoint) time.Duration {
 			one, other := d.newSlowAgent(slow, old, next), d.newSlowAgent(slow, old, next)
@@ -67,21 +74,19 @@
 				time.Sleep(400 * time.Millisecond)
 				d.reloadTo(one)
 			}
-			return 4*time.Second - 6*400*time.Millisecond
+			return afterReload - 6*400*time.Millisecond
 		}},
 		"watch breaks": {func(d *testDispatcher, old, next *testbed.Endpoint) time.Duration {
 			d.agent.SetPace(slow)
 			d.agent.BreakWatches()
-			d.setListed(old, "single", "gone")
-			d.setListed(next, "single", "ready")
-			return 6 * time.Second
+			replaceAt(time.Now().Add(afterSilence), d.agent, old, next)
+			return afterSilence
 		}},
 		"watch falls silent": {func(d *testDispatcher, old, next *testbed.Endpoint) time.Duration {
 			d.agent.SetPace(slow)
 			d.agent.SilenceOpenWatches()
-			d.setListed(old, "single", "gone")
-			d.setListed(next, "single", "ready")
-			return 6 * time.Second
+			replaceAt(time.Now().Add(afterSilence), d.agent, old, next)
+			return afterSilence
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -79,6 +79,9 @@
 		case <-w.agent.quit:
 			return
 		case <-changed:
+			if w.agent.stopped() {
+				return
+			}
 			changed = w.agent.addressChange()
 			w.plan.setAddress(w.agent.address())
 			w.silence = newDiscoverySilence(w.now())
