--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -65,6 +65,8 @@
 	Whole bool `json:"whole"`
 	// Hosts are the listed endpoints, or those that changed.
 	Hosts []Host `json:"hosts"`
+	// AnswerMillis is how long discovery took to answer the watch on which the list came, in milliseconds. The watcher sets it.
+	AnswerMillis int64 `json:"answer_ms,omitempty"`
 }
 
 // Host is one endpoint of an EndpointList.
--- a/internal/platform/listcache.go
+++ b/internal/platform/listcache.go
@@ -214,8 +214,8 @@
 
 // mergedList is a list to which changes are applied.
 type mergedList struct {
-	seq   int64
-	hosts map[string]Host
+	seq, answerMillis int64
+	hosts             map[string]Host
 }
 
 // newMergedList returns a mergedList that starts with l.
@@ -227,7 +227,7 @@
 
 // add applies changes.
 func (m *mergedList) add(l EndpointList) {
-	m.seq = l.Seq
+	m.seq, m.answerMillis = l.Seq, l.AnswerMillis
 	for _, h := range l.Hosts {
 		if h.Health == "gone" {
 			delete(m.hosts, h.Name)
@@ -239,7 +239,7 @@
 
 // list returns the whole list, ordered by name.
 func (m *mergedList) list() EndpointList {
-	l := EndpointList{Seq: m.seq, Whole: true, Hosts: make([]Host, 0, len(m.hosts))}
+	l := EndpointList{Seq: m.seq, Whole: true, Hosts: make([]Host, 0, len(m.hosts)), AnswerMillis: m.answerMillis}
 	for _, h := range m.hosts {
 		l.Hosts = append(l.Hosts, h)
 	}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -67,8 +67,8 @@
 	listCache *listCache
 	// hasList tells that an endpoint list is known.
 	hasList atomic.Bool
-	// listSeq is the version of the list that discovery sent last.
-	listSeq atomic.Int64
+	// listSeq is the version of the list that discovery sent last, and listAnswerMillis its EndpointList.AnswerMillis.
+	listSeq, listAnswerMillis atomic.Int64
 	// firstListReceived is closed when discovery has sent its first list.
 	firstListReceived chan struct{}
 	// quit is closed when the node ends.
@@ -118,7 +118,7 @@
 	var err error
 	n := &Node{cfg: cfg, log: log, system: system, clock: clock.New(), directory: NewDirectory(cfg.Zones, cfg.Settings.DestinationKinds), agent: newAgent(cfg.Discovery),
 		firstListReceived: make(chan struct{}), quit: make(chan struct{}), storageDone: make(chan struct{})}
-	n.listCache = newListCache(folder, int(listDiskFraction*cfg.Limits.DiskMB*(1<<20)), func() EndpointList { return n.directory.Snapshot(n.listSeq.Load()) }, n.warnLogger("discovery"))
+	n.listCache = newListCache(folder, int(listDiskFraction*cfg.Limits.DiskMB*(1<<20)), n.currentList, n.warnLogger("discovery"))
 	if n.ledger, err = openLedger(folder, int64(cfg.Limits.DiskMB*(1<<20)), n.clock, n.warnLogger("ledger")); err != nil {
 		return nil, err
 	}
@@ -240,20 +240,38 @@
 	return func(f string, a ...any) { n.log.Warn(part, f, a...) }
 }
 
-// firstListTimeout is how long a start waits for discovery's first list. Discovery answers at once or is
-// down. Until it answers, the known list may name addresses that now belong to other endpoints.
-const firstListTimeout = 500 * time.Millisecond
+// Bounds of the time that a start waits for discovery's first list. Until discovery answers, the known list may name addresses that
+// now belong to other endpoints. What discovery has counts as received from the first moment of a process.
+const (
+	// minFirstListTimeout is for a discovery that answered at once before: it answers at once again, or is down.
+	minFirstListTimeout = 500 * time.Millisecond
+	// maxFirstListTimeout is for a discovery of which nothing is known, too.
+	maxFirstListTimeout = 4500 * time.Millisecond
+	// firstListMargin is the factor on the time that discovery took the last time.
+	firstListMargin = 1.5
+)
+
+// firstListTimeout returns how long a start waits for discovery's first list. saved is the list that was kept in the state directory,
+// if hasSaved is true.
+func firstListTimeout(saved *EndpointList, hasSaved bool) time.Duration {
+	if !hasSaved {
+		return maxFirstListTimeout
+	}
+	lastTime := time.Duration(saved.AnswerMillis) * time.Millisecond
+	return min(max(time.Duration(firstListMargin*float64(lastTime)), minFirstListTimeout), maxFirstListTimeout)
+}
 
 // startDiscovery applies the newer of the saved list and the configured one and starts watching discovery. It
 // waits for discovery's own list, so that nothing is sent before it unless discovery does not answer in time.
 func (n *Node) startDiscovery() {
 	known := n.cfg.Known
-	if last, ok := n.listCache.load(); ok && last.Seq >= known.Seq {
-		known = last
+	saved, hasSaved := n.listCache.load()
+	if hasSaved && saved.Seq >= known.Seq {
+		known = saved
 	}
 	n.applyList(known, control.ListCached)
 	go newWatcher(n.agent, n.elapsed, known.Seq, n.receiveList, n.warnLogger("discovery"), n.debugLogger()).run()
-	wait := time.NewTimer(firstListTimeout)
+	wait := time.NewTimer(firstListTimeout(&saved, hasSaved))
 	defer wait.Stop()
 	select {
 	case <-n.firstListReceived:
@@ -262,6 +280,13 @@
 	}
 }
 
+// currentList returns the present list for the state directory.
+func (n *Node) currentList() EndpointList {
+	l := n.directory.Snapshot(n.listSeq.Load())
+	l.AnswerMillis = n.listAnswerMillis.Load()
+	return l
+}
+
 // restoreMessages submits the outstanding messages of the previous process. Those that cannot be submitted
 // end as undeliverable.
 func (n *Node) restoreMessages(adapter *ledgerAdapter, entries []ledger.Entry) {
@@ -307,7 +332,8 @@
 		kind = control.ListFull
 	}
 	n.applyList(l, kind)
-	if known := n.listSeq.Swap(l.Seq); l.Whole || len(l.Hosts) > 0 || known != l.Seq {
+	previous := EndpointList{Seq: n.listSeq.Swap(l.Seq), AnswerMillis: n.listAnswerMillis.Swap(l.AnswerMillis)}
+	if l.Whole || len(l.Hosts) > 0 || previous.Seq != l.Seq || firstListTimeout(&previous, true) != firstListTimeout(&l, true) {
 		n.listCache.update(l)
 	}
 	n.firstListOnce.Do(func() { close(n.firstListReceived) })
--- a/internal/platform/slowdiscovery_test.go
+++ b/internal/platform/slowdiscovery_test.go
@@ -112,3 +112,31 @@
 		})
 	}
 }
+
+// A start behind a slow discovery sends nothing by an old list: neither the first one, of whose discovery nothing is known, nor one
+// behind a process that found it slow. What discovery has counts as received from the first moment of a process.
+func TestStartBehindSlowDiscovery(t *testing.T) {
+	for name, restarted := range map[string]bool{"first": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newTestDispatcher(t)
+			old := d.addEndpoint("old", 1, "single", succeed)
+			next, err := d.bed.Endpoint("next", 1, "", succeed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(next.Close)
+			d.fixedConfig = testbed.Configuration(d.addr, d.agent)
+			d.agent.SetPace(testbed.AgentPace{FirstList: 2 * time.Second})
+			if restarted {
+				d.startReady()
+				d.kill()
+			}
+			replaceAt(time.Now(), d.agent, old, next)
+			d.startReady()
+			d.awaitEnds(d.submitAll("y", 5, 1, "status", "upload"))
+			d.expectOnlyHost("next", "y")
+			d.checkRules()
+		})
+	}
+}
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -41,8 +41,9 @@
 	address netip.AddrPort
 	// openedAt is when it was opened.
 	openedAt time.Duration
-	// heard tells that it has shown a sign of life.
-	heard bool
+	// heard tells that it has shown a sign of life, the first one heardAfter it was opened.
+	heard      bool
+	heardAfter time.Duration
 }
 
 // watchEvent reports a list, a heartbeat, a part of a list or the end of a watch.
@@ -149,8 +150,8 @@
 	}
 	state := w.open[e.id]
 	if !state.heard {
-		state.heard = true
-		w.trace("watch %d: heard after %v", e.id, now-state.openedAt)
+		state.heard, state.heardAfter = true, now-state.openedAt
+		w.trace("watch %d: heard after %v", e.id, state.heardAfter)
 	}
 	if state.address == w.plan.address {
 		if text := w.silence.end(now, now-state.openedAt); text != "" {
@@ -158,6 +159,7 @@
 		}
 	}
 	if e.list != nil {
+		e.list.AnswerMillis = state.heardAfter.Milliseconds()
 		w.passOn(e.list, state.address)
 	}
 }
