--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +54,8 @@
 	// silentUntil is the time from which the node has a new watch at the latest. Changes published before count as
 	// listed then.
 	silentUntil time.Time
+	// unavailableSince holds when it counts as listed that an endpoint drains or is gone.
+	unavailableSince map[string]time.Time
 }
 
 const (
@@ -61,6 +65,8 @@
 	watchSilenceLimit = 6 * time.Second
 	// reloadLimit is how long after SIGHUP a change counts as listed at the latest.
 	reloadLimit = 4 * time.Second
+	// drainGrace is how long after that calls may still begin, with slack for a machine that all processes of a run share.
+	drainGrace = 1250 * time.Millisecond
 )
 
 // newEnvironment starts one to three endpoints for each destination.
@@ -68,7 +74,7 @@
 	w := &environment{testbed: bed, latency: latency}
 	for dest := range destinations {
 		for range 1 + dest%3 {
-			if _, err := w.addEndpoint(dest); err != nil {
+			if _, err := w.addEndpoint(dest, nil); err != nil {
 				return nil, err
 			}
 		}
@@ -84,18 +90,20 @@
 	return "single"
 }
 
-// addEndpoint starts an endpoint of a destination and publishes it to all agents.
-func (w *environment) addEndpoint(dest int) (*proxiedEndpoint, error) {
+// addEndpoint starts an endpoint of a destination and publishes it to all agents. It sits behind a proxy, a new one if that is nil.
+func (w *environment) addEndpoint(dest int, proxy *testbed.Proxy) (*proxiedEndpoint, error) {
 	w.mu.Lock()
 	w.endpointCount++
 	name := fmt.Sprintf("e%d", w.endpointCount)
 	w.mu.Unlock()
-	p := &proxiedEndpoint{}
+	p := &proxiedEndpoint{proxy: proxy}
 	var err error
 	if p.endpoint, err = w.testbed.Endpoint(name, dest, "", p.handle); err != nil {
 		return nil, err
 	}
-	if p.proxy, err = w.testbed.Proxy(p.endpoint); err != nil {
+	if proxy != nil {
+		proxy.SetEndpoint(p.endpoint)
+	} else if p.proxy, err = w.testbed.Proxy(p.endpoint); err != nil {
 		return nil, err
 	}
 	p.proxy.SetLatency(w.latency)
@@ -129,8 +137,8 @@
 	}
 }
 
-// publishEntry publishes a changed endpoint, or defers it while the agent is muted. The caller holds the environment's
-// lock.
+// publishEntry publishes a changed endpoint, or defers it while the agent is muted. That an endpoint drains or is gone counts from
+// its first listing on, once that counts. The caller holds the environment's lock.
 func (a *nodeAgent) publishEntry(entry testbed.EndpointEntry, now time.Time) {
 	if a.muted {
 		a.deferred = append(a.deferred, entry)
@@ -140,22 +148,36 @@
 	if a.silentUntil.After(now) {
 		at = a.silentUntil
 	}
+	if since, ok := a.unavailableSince[entry.Host]; ok && since.Before(now) {
+		at = since
+	}
+	if entry.Health == "ready" {
+		delete(a.unavailableSince, entry.Host)
+	} else {
+		a.unavailableSince[entry.Host] = at
+	}
 	a.PublishAt(at, entry)
 }
 
-// newAgent starts an agent for a node. Its list has all endpoints that are not removed.
-func (w *environment) newAgent(node string) (*nodeAgent, error) {
+// newAgent starts an agent for a node, the first one or, with SIGHUP to follow at once, the next one behind previous. Its list has all
+// endpoints that are not removed.
+func (w *environment) newAgent(node string, previous *nodeAgent) (*nodeAgent, error) {
 	base, err := w.testbed.Agent()
 	if err != nil {
 		return nil, err
 	}
 	base.Node = node
-	a := &nodeAgent{Agent: base}
+	a := &nodeAgent{Agent: base, unavailableSince: map[string]time.Time{}}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := w.testbed.Now()
+	if previous != nil {
+		a.silentUntil = now.Add(reloadLimit)
+		a.unavailableSince = maps.Clone(previous.unavailableSince)
+	}
 	for _, p := range w.endpoints {
 		if !p.removed {
-			a.publishEntry(p.entry, w.testbed.Now())
+			a.publishEntry(p.entry, now)
 		}
 	}
 	return a, nil
@@ -174,7 +196,6 @@
 	defer w.mu.Unlock()
 	previous := w.agents[node]
 	w.agents[node] = next
-	next.silentUntil = w.testbed.Now().Add(reloadLimit)
 	return previous
 }
 
@@ -202,7 +223,7 @@
 
 // drain adds a replacement for an endpoint, lists the endpoint as draining, and lists it as gone after a time.
 func (w *environment) drain(p *proxiedEndpoint, after time.Duration) error {
-	if _, err := w.addEndpoint(p.entry.Block); err != nil {
+	if _, err := w.addEndpoint(p.entry.Block, nil); err != nil {
 		return err
 	}
 	setHealth := func(health string) {
@@ -218,6 +239,42 @@
 	return nil
 }
 
+// replaceForeign drains an endpoint and lists it as gone after a time. When that counts as listed everywhere, and the time that
+// calls may still begin is over, an endpoint of another destination takes its address.
+func (w *environment) replaceForeign(p *proxiedEndpoint, after time.Duration) error {
+	if err := w.drain(p, after); err != nil {
+		return err
+	}
+	time.Sleep(after)
+	for w.isDeferred(p.entry.Host) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(watchSilenceLimit + drainGrace)
+	_, err := w.addEndpoint((p.entry.Block+1)%destinations, p.proxy)
+	return err
+}
+
+// isDeferred reports whether an agent has not been told yet of a change of an endpoint.
+func (w *environment) isDeferred(host string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.agents, func(a *nodeAgent) bool {
+		return slices.ContainsFunc(a.deferred, func(e testbed.EndpointEntry) bool { return e.Host == host })
+	})
+}
+
+// slowDown sets the pace of an agent. With breakWatches set, it ends the open watches, and changes count as listed only when a new
+// one has to be heard.
+func (w *environment) slowDown(a *nodeAgent, pace testbed.AgentPace, breakWatches bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a.SetPace(pace)
+	if breakWatches {
+		a.BreakWatches()
+		a.silentUntil = w.testbed.Now().Add(watchSilenceLimit)
+	}
+}
+
 // close closes the endpoints, proxies and agents.
 func (w *environment) close() {
 	w.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -69,6 +69,8 @@
 	{"pause", 4},
 	// SIGHUP with another agent for discovery, half of the time after a malformed file.
 	{"reload", 1},
+	// SIGHUP with up to three other agents in quick succession, which answer a watch after up to 3 s.
+	{"slow-reload", 2},
 	// A limit of descriptors at the number that is open.
 	{"files", 1},
 	// An endpoint does not answer. This is an outage, and the endpoint is cold afterwards.
@@ -107,6 +109,10 @@
 	{"reset", 3},
 	// An endpoint drains and is removed, and another replaces it.
 	{"drain", 3},
+	// An endpoint is removed, and behind the time at which all know, another one, of another destination, sits at its address.
+	{"foreign", 2},
+	// An agent answers watches after up to 3 s and notices after up to 1 s, half of the time behind the end of the open watches.
+	{"slow-discovery", 3},
 	// An agent answers no watches.
 	{"mute", 2},
 	// The open watches of an agent get no more answers.
--- a/internal/testbed/check.go
+++ b/internal/testbed/check.go
@@ -412,6 +412,10 @@
 	case m.rejected:
 		c.violation("rule 1: %s is called though it was refused", e.Name)
 	}
+	// Only its destination may run a message, whoever was told what.
+	if m.accepted != nil && m.accepted.Dest != e.Dest {
+		c.violation("rule 3: %s for destination %d is called at %s of destination %d", e.Name, m.accepted.Dest, e.Host, e.Dest)
+	}
 	c.checkRepeat(e, m, disturbed)
 	m.callStarts[e.Call] = e.At
 	m.openCall = e.Call
--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -16,16 +16,15 @@
 // the endpoint sees it at once in every state, as the kernel of the closing machine would tell it.
 type Proxy struct {
 	testbed *Testbed
-	host    string
-	// target is the address of the endpoint.
-	target string
 	// Addr is the address that the proxy listens on.
 	Addr string
 
-	mu    sync.Mutex
-	ln    net.Listener
-	conns map[*proxiedConn]bool
-	state networkState
+	mu sync.Mutex
+	// host is the name of the endpoint, and target its address.
+	host, target string
+	ln           net.Listener
+	conns        map[*proxiedConn]bool
+	state        networkState
 	// latency is the time that bytes take each way.
 	latency time.Duration
 	// stateChanged is closed and replaced when the state changes.
@@ -81,6 +80,14 @@
 	return p, nil
 }
 
+// SetEndpoint has the proxy lead to another endpoint, and ends its connections.
+func (p *Proxy) SetEndpoint(endpoint *Endpoint) {
+	p.mu.Lock()
+	p.host, p.target = endpoint.Host, endpoint.Addr
+	p.mu.Unlock()
+	p.ResetConnections()
+}
+
 // accept accepts connections until the listener is closed.
 func (p *Proxy) accept(ln net.Listener) {
 	for {
@@ -94,7 +101,10 @@
 
 // serve connects to the endpoint and copies bytes both ways until either side ends.
 func (p *Proxy) serve(client net.Conn) {
-	endpoint, err := net.DialTimeout("tcp", p.target, time.Second)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	endpoint, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		_ = client.Close()
 		return
