--- a/cmd/whinrun/node.go
+++ b/cmd/whinrun/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"runtime"
@@ -44,7 +45,10 @@
 	// Signals are registered before the start, so that a signal that arrives during the start is not lost.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	node, err := platform.Start(cfg, log)
+	// A signal to end also ends the wait of the start for discovery. The stop begins behind the start.
+	starting, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	node, err := platform.Start(starting, cfg, log)
+	release()
 	if err != nil {
 		return err
 	}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -104,17 +104,17 @@
 }
 
 // Start starts a dispatcher. Outstanding messages and notices of the ledger are restored before clients are
-// served.
-func Start(cfg *Config, log *logs.Logger) (*Node, error) {
+// served. The end of ctx ends the wait for discovery, so that a stop can begin; it does not stop the dispatcher.
+func Start(ctx context.Context, cfg *Config, log *logs.Logger) (*Node, error) {
 	folder, err := openStateDir(cfg.StateDir)
 	if err != nil {
 		return nil, err
 	}
-	return startWith(folder, nil, cfg, log)
+	return startWith(ctx, folder, nil, cfg, log)
 }
 
 // startWith starts a dispatcher on a state directory. system may be nil for the kernel.
-func startWith(folder disk.FS, system eventloop.System, cfg *Config, log *logs.Logger) (*Node, error) {
+func startWith(ctx context.Context, folder disk.FS, system eventloop.System, cfg *Config, log *logs.Logger) (*Node, error) {
 	var err error
 	n := &Node{cfg: cfg, log: log, system: system, clock: clock.New(), directory: NewDirectory(cfg.Zones, cfg.Settings.DestinationKinds), agent: newAgent(cfg.Discovery),
 		firstListReceived: make(chan struct{}), quit: make(chan struct{}), storageDone: make(chan struct{})}
@@ -122,7 +122,7 @@
 	if n.ledger, err = openLedger(folder, int64(cfg.Limits.DiskMB*(1<<20)), n.clock, n.warnLogger("ledger")); err != nil {
 		return nil, err
 	}
-	if err := n.start(); err != nil {
+	if err := n.start(ctx); err != nil {
 		_ = n.ledger.Close()
 		return nil, err
 	}
@@ -130,7 +130,7 @@
 }
 
 // start starts the components in the order of their dependencies.
-func (n *Node) start() error {
+func (n *Node) start(ctx context.Context) error {
 	set := &n.cfg.Settings
 	guard := safety.NewGuard(*set)
 	budget := newDescriptorBudget(n.cfg.Limits.Sockets, set.Slots)
@@ -155,7 +155,7 @@
 	entries, notices := n.ledger.Outstanding()
 	n.loop = engine.NewLoop(core, n.clock, engine.Limits{MaxQueued: maxHeld + len(entries), MaxHeld: maxHeld + len(entries)})
 	n.notices.enqueue(notices...)
-	n.startDiscovery()
+	n.startDiscovery(ctx)
 	n.restoreOutages(adapter)
 	n.restoreMessages(adapter, entries)
 	go n.loop.Run()
@@ -262,8 +262,8 @@
 }
 
 // startDiscovery applies the newer of the saved list and the configured one and starts watching discovery. It
-// waits for discovery's own list, so that nothing is sent before it unless discovery does not answer in time.
-func (n *Node) startDiscovery() {
+// waits for discovery's own list, so that nothing is sent before it unless discovery does not answer in time or ctx ends.
+func (n *Node) startDiscovery(ctx context.Context) {
 	known := n.cfg.Known
 	saved, hasSaved := n.listCache.load()
 	if hasSaved && saved.Seq >= known.Seq {
@@ -275,6 +275,7 @@
 	defer wait.Stop()
 	select {
 	case <-n.firstListReceived:
+	case <-ctx.Done():
 	case <-wait.C:
 		n.log.Warn("discovery", "no answer yet: the list of version %d is in force", known.Seq)
 	}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -101,14 +102,14 @@
 	}
 	switch {
 	case d.disk != nil:
-		d.node, err = startWith(d.disk, d.system(), cfg, log)
+		d.node, err = startWith(context.Background(), d.disk, d.system(), cfg, log)
 	case d.faulty != nil:
 		var folder disk.FS
 		if folder, err = openStateDir(cfg.StateDir); err == nil {
-			d.node, err = startWith(folder, d.system(), cfg, log)
+			d.node, err = startWith(context.Background(), folder, d.system(), cfg, log)
 		}
 	default:
-		d.node, err = Start(cfg, log)
+		d.node, err = Start(context.Background(), cfg, log)
 	}
 	if err != nil {
 		d.t.Fatal(err)
