--- a/internal/platform/slowdiscovery_test.go
+++ b/internal/platform/slowdiscovery_test.go
@@ -26,6 +26,17 @@
 	d.node.Reload(cfg)
 }
 
+// newUnlistedEndpoint adds an endpoint that discovery does not list yet.
+func (d *testDispatcher) newUnlistedEndpoint(host string, dest int) *testbed.Endpoint {
+	d.t.Helper()
+	e, err := d.bed.Endpoint(host, dest, "", succeed)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(e.Close)
+	return e
+}
+
 // replaceAt lists an endpoint as gone and another one as ready, which counts as received at a time.
 func replaceAt(at time.Time, a *testbed.Agent, old, next *testbed.Endpoint) {
 	entry := func(e *testbed.Endpoint, health string) testbed.EndpointEntry {
@@ -93,11 +104,7 @@
 			t.Parallel()
 			d := newTestDispatcher(t)
 			old := d.addEndpoint("old", 1, "single", succeed)
-			next, err := d.bed.Endpoint("next", 1, "", succeed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(next.Close)
+			next := d.newUnlistedEndpoint("next", 1)
 			d.startReady()
 			d.awaitEnds(d.submitAll("x", 1, 1, "status"))
 			since := len(d.bed.Events())
@@ -121,11 +128,7 @@
 			t.Parallel()
 			d := newTestDispatcher(t)
 			old := d.addEndpoint("old", 1, "single", succeed)
-			next, err := d.bed.Endpoint("next", 1, "", succeed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(next.Close)
+			next := d.newUnlistedEndpoint("next", 1)
 			d.fixedConfig = testbed.Configuration(d.addr, d.agent)
 			d.agent.SetPace(testbed.AgentPace{FirstList: 2 * time.Second})
 			if restarted {
