--- a/control/api.go
+++ b/control/api.go
@@ -22,6 +22,9 @@
 // MessageID identifies a message. The caller assigns it and never uses one twice.
 type MessageID uint64
 
+// CurrentAttempt is an Event.Attempt for the attempt of a message that is in flight, whatever its number.
+const CurrentAttempt = -1
+
 // EndpointID identifies an endpoint. The caller assigns it. The library only compares IDs and derives hash values from them.
 type EndpointID uint64
 
@@ -302,7 +305,8 @@
 	Key uint64
 	// TimeLeft is the time from now until the message is given up. In a Shutdown it is the time until the dispatcher stops.
 	TimeLeft Time
-	// Attempt is the number of the attempt, counted from 0. In an Arrival it is the number of attempts already made.
+	// Attempt is the number of the attempt, counted from 0. In an Arrival it is the number of attempts already made. In an Outcome it
+	// may be CurrentAttempt.
 	Attempt int
 	// Endpoint is where the attempt or probe was sent.
 	Endpoint EndpointID
--- a/control/control.go
+++ b/control/control.go
@@ -451,15 +451,7 @@
 		}
 		m = d.pickMessage(dest, ep, false)
 	}
-	d.acquireSlot(c)
-	ep.limiter.tokens--
-	if !trial || d.outageConfirmed(ep) { // the trial that confirms an outage does not belong to the ramp
-		ep.rampTokens -= 1 + batchRampCost*float64(len(c.messages)-1)
-	}
-	if c.trial {
-		ep.trialAt = d.now + ep.trialInterval + Time(d.random()*float64(ep.trialInterval)/4)
-		ep.trialInterval = min(Time(float64(ep.trialInterval)*trialBackoffFactor), maxTrialInterval)
-	}
+	d.acquire(c)
 	return true
 }
 
@@ -582,7 +574,7 @@
 // onOutcome handles the end of an attempt. It ends the message or queues it again.
 func (d *Dispatcher) onOutcome(e *Event) {
 	m := d.messages[e.Message]
-	if m == nil || m.call == nil || m.attempts-1 != e.Attempt {
+	if m == nil || m.call == nil || e.Attempt != CurrentAttempt && e.Attempt != m.attempts-1 {
 		return
 	}
 	c := m.call
@@ -615,6 +607,7 @@
 // settleMessage removes a message from its call. The first outcome is evaluated, the last one frees the slot.
 func (d *Dispatcher) settleMessage(c *call, e *Event) {
 	c.pending--
+	d.attemptsInFlight--
 	if e.RetryAfter > 0 { // every outcome of a call may ask for a wait
 		c.ep.limiter.waitUntil = max(c.ep.limiter.waitUntil, d.now+e.RetryAfter+d.settings.Tick)
 		c.ep.dest.eachQueued(d.expire) // the wait outlasts the deadline of some messages
@@ -628,7 +621,7 @@
 	dest := c.ep.dest
 	dest.virtualTime += (d.now - c.sentAt).seconds() / d.weight(dest)
 	d.adjustWindow(dest, e.Result)
-	d.releaseSlot(c)
+	d.release(c)
 }
 
 // learnOutcome updates the state of the endpoint and its destination from the result of a call.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -77,7 +77,7 @@
 }
 
 // step advances the clock and runs one round with the events and the timers that are due. It returns the actions except Timer
-// and Log.
+// and Log, and checks the sums of what is in use.
 func (r *runner) step(after Time, events ...Event) []Action {
 	r.now += after
 	r.timers = slices.DeleteFunc(r.timers, func(a Action) bool {
@@ -87,6 +87,9 @@
 		return a.After <= r.now
 	})
 	actions := r.dispatcher.Step(r.now, events, nil)
+	if err := r.dispatcher.CheckUsage(); err != nil {
+		r.t.Fatalf("at %v: %v", r.now, err)
+	}
 	for _, a := range actions {
 		if a.Kind == Timer && a.TimerToken != 0 {
 			a.After += r.now
--- a/control/state.go
+++ b/control/state.go
@@ -63,6 +63,8 @@
 	changedOutages []*endpoint
 	// busySlots is the number of calls in flight. openMessages is the number of messages without a final answer.
 	busySlots, openMessages int
+	// attemptsInFlight is the number of attempts in these calls that have no outcome yet.
+	attemptsInFlight int
 	// arrivalCount counts arrivals and round counts rounds. scanCount counts the destinations that were tried or checked, which
 	// is the main work of a round.
 	arrivalCount, round, scanCount uint64
@@ -881,26 +883,6 @@
 	}
 }
 
-// acquireSlot makes a call occupy a slot.
-func (d *Dispatcher) acquireSlot(c *call) {
-	c.pending = len(c.messages)
-	d.busySlots++
-	c.ep.dest.inFlight++
-	c.ep.calls = append(c.ep.calls, c)
-	c.ep.connOpen, c.ep.usedAt = true, d.now
-	d.reindex(c.ep.dest)
-}
-
-// releaseSlot frees the slot of a call.
-func (d *Dispatcher) releaseSlot(c *call) {
-	d.busySlots--
-	c.ep.dest.inFlight--
-	c.ep.calls = slices.DeleteFunc(c.ep.calls, func(o *call) bool { return o == c })
-	c.ep.usedAt = d.now
-	d.freedEndpoints = append(d.freedEndpoints, c.ep)
-	d.wakeUp(c.ep.dest)
-}
-
 // hasQueuedEffect tells whether a message of a class with the effect is queued.
 func (t *destination) hasQueuedEffect(e RepeatEffect) bool {
 	return slices.ContainsFunc(t.lanes, func(l []*message) bool { return len(l) > 0 && l[0].class.Effect == e })
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -351,6 +351,9 @@
 	events      []control.Event
 	actions     []control.Action
 	stats       Stats
+
+	// reportedUsageFault is the disagreement that checkUsage reported last. It is empty while there is none.
+	reportedUsageFault string
 }
 
 // NewCore returns a Core, or the library's error about its settings. discovery may be nil if the setting PullList is off.
@@ -411,6 +414,7 @@
 	c.nextEvents = append(c.nextEvents, c.events[handled:]...) // Events that were added after the library's step.
 	clear(c.events)
 	c.compactTimers()
+	c.checkUsage()
 }
 
 // announce tells the sender that its message is accepted, after the ledger has recorded it. If the ledger cannot record it, the
@@ -696,28 +700,12 @@
 
 // send starts an attempt that the library decided, if the guard authorizes it.
 func (c *Core) send(action *control.Action) {
-	state := c.messages[action.Message]
-	if state == nil || state.ended || state.inFlight != nil {
-		c.logger.InternalError(fmt.Sprintf("send action for message %d, which has ended or has an attempt in flight", action.Message))
-		return
-	}
-	if !c.announce(state) {
-		return
-	}
-	c.lastSeq++
-	attempt := &Attempt{Seq: c.lastSeq, Message: state.message, Number: state.attempts, Endpoint: action.Endpoint, Placement: c.placements[action.Endpoint], Deadline: state.deadline, MessageDeadline: state.deadline, StartedAt: c.now,
-		WriteBefore: c.now + action.SendWithin, Value: c.options.Settings.Classes[state.message.Class].Value,
-		RunsOnce: c.options.Settings.Classes[state.message.Class].Effect == control.AtMostOnce}
-	attempt.PerEndpointLimits = c.hasPerEndpointLimits(attempt.Placement.Kind)
-	if action.After > 0 {
-		attempt.Deadline = min(attempt.Deadline, c.now+action.After)
-	}
-	state.attempts++
-	if err := c.guard.AuthorizeCall(c.now, attempt.SafetyCall()); err != nil { // The library is told in the next round that it was not sent.
-		c.logger.InternalError(err.Error())
-		c.nextEvents = append(c.nextEvents, control.Event{Kind: control.Outcome, Message: state.message.ID, Attempt: attempt.Number, Endpoint: attempt.Endpoint, Result: control.NotExecuted})
+	attempt, err := c.prepareAttempt(action)
+	if err != nil {
+		c.rejectSend(action, err)
 		return
 	}
+	state := c.messages[action.Message]
 	state.inFlight = attempt
 	c.inFlight[attempt.Seq] = attempt
 	c.stats.Attempts++
@@ -731,6 +719,56 @@
 	c.addToCall(attempt)
 }
 
+// Reasons why an attempt that the library decided is not started.
+var (
+	// errNotAnnounced means that the message ended in this round, because it could not be recorded.
+	errNotAnnounced = errors.New("the message is not on record")
+	// errMessageEnded means that the message has ended, which the library did not know.
+	errMessageEnded = errors.New("it has ended")
+	// errAttemptOut means that the message has an attempt in flight, which the library did not know.
+	errAttemptOut = errors.New("it has an attempt in flight")
+)
+
+// prepareAttempt returns the attempt that the library decided, or the reason why it must not be started.
+func (c *Core) prepareAttempt(action *control.Action) (*Attempt, error) {
+	state := c.messages[action.Message]
+	switch {
+	case state == nil || state.ended:
+		return nil, errMessageEnded
+	case state.inFlight != nil:
+		return nil, errAttemptOut
+	case !c.announce(state):
+		return nil, errNotAnnounced
+	}
+	c.lastSeq++
+	class := &c.options.Settings.Classes[state.message.Class]
+	attempt := &Attempt{Seq: c.lastSeq, Message: state.message, Number: state.attempts, Endpoint: action.Endpoint, Placement: c.placements[action.Endpoint], Deadline: state.deadline,
+		MessageDeadline: state.deadline, StartedAt: c.now, WriteBefore: c.now + action.SendWithin, Value: class.Value, RunsOnce: class.Effect == control.AtMostOnce}
+	attempt.PerEndpointLimits = c.hasPerEndpointLimits(attempt.Placement.Kind)
+	if action.After > 0 {
+		attempt.Deadline = min(attempt.Deadline, c.now+action.After)
+	}
+	state.attempts++
+	return attempt, c.guard.AuthorizeCall(c.now, attempt.SafetyCall())
+}
+
+// rejectSend reports an attempt that was not started to the library in the next round. From the Send action on the library counts
+// the attempt as in flight: until its outcome it occupies a slot, a place in a window, and the turn of its key.
+func (c *Core) rejectSend(action *control.Action, reason error) {
+	event := control.Event{Kind: control.Outcome, Message: action.Message, Attempt: control.CurrentAttempt, Endpoint: action.Endpoint, Result: control.NotSent}
+	switch reason {
+	case errNotAnnounced:
+		event.Closed = true
+	case errMessageEnded:
+		event.Closed = true
+		c.logger.InternalError(fmt.Sprintf("send action for message %d: %v", action.Message, reason))
+	default: // The attempt counts, so that the library does not repeat it without end.
+		event.Result = control.NotExecuted
+		c.logger.InternalError(fmt.Sprintf("send action for message %d: %v", action.Message, reason))
+	}
+	c.nextEvents = append(c.nextEvents, event)
+}
+
 // hasPerEndpointLimits reports whether endpoints of a kind have their own limits and waits.
 func (c *Core) hasPerEndpointLimits(kind int) bool {
 	return kind >= 0 && kind < len(c.options.Settings.DestinationKinds) && c.options.Settings.DestinationKinds[kind].PerEndpointLimits
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -40,6 +40,9 @@
 	executions map[control.MessageID]int
 	classes    map[control.MessageID]int
 	errors     []string
+
+	// afterRound is called behind each round, unless it is nil.
+	afterRound func()
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
@@ -162,6 +165,9 @@
 		in = append(in, i)
 	}
 	w.core.Round(w.now, in)
+	if w.afterRound != nil {
+		w.afterRound()
+	}
 	return true
 }
 
--- a/internal/safety/safety.go
+++ b/internal/safety/safety.go
@@ -140,6 +140,9 @@
 	// blockedKeys holds until when no first attempt is made for an order key, because an earlier attempt may still be executing.
 	blockedKeys map[uint64]control.Time
 
+	// attemptsInFlight is the number of messages with an attempt in flight.
+	attemptsInFlight int
+
 	violations uint64
 }
 
@@ -171,6 +174,16 @@
 	return g.violations
 }
 
+// Usage tells how many messages a Guard keeps, and how many attempts are in flight.
+type Usage struct{ Messages, Attempts int }
+
+// Usage returns what the guard keeps now.
+func (g *Guard) Usage() Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Usage{Messages: len(g.messages), Attempts: g.attemptsInFlight}
+}
+
 // Accept adds a message that the dispatcher has accepted.
 func (g *Guard) Accept(m Message) {
 	g.mu.Lock()
@@ -199,6 +212,7 @@
 	}
 	m.Attempts++
 	m.inFlight, m.written = c.Attempt, false
+	g.attemptsInFlight++
 	return nil
 }
 
@@ -327,6 +341,7 @@
 		return g.recordViolation("end of an attempt", c.Message, ErrUnknownMessage)
 	}
 	m.inFlight, m.possiblyOver = noAttempt, result.PossiblyOver
+	g.attemptsInFlight--
 	var err error
 	if result.Unsent && m.written {
 		err = g.recordViolation("end as unsent", c.Message, ErrAlreadyWritten)
