control: a call of which nothing was sent gives back its tokens and its trial, and teaches nothing

Cause: an attempt that ended as NotSent (not recorded, overtaken by a drain or a wait) had spent a token of the rate limit and of the ramp, and put the endpoint's next trial off by up to 2 s, more each time. With a full ledger, trials were spent on messages that could not be recorded, and a partner that had returned got no call meanwhile. In a call of several messages the first outcome alone was evaluated, also if its message had not been sent: the failure or the refusal of the others was not learned.

Change: release gives back what acquire took if no message of the call was sent, and the first outcome of a message that was sent is evaluated. A trial that comes back at once can't go round without end: what keeps a message from being sent ends it, holds it (a wait, a drain), or stops recorded classes until the ledger can be written.

Evidence: TestUnsentTrialIsGivenBack and TestCallIsLearnedFromAMessageThatWasSent fail on the text before. TestPlaysAsRecorded is unchanged and passes, so decisions differ behind NotSent only.

--- a/control/control.go
+++ b/control/control.go
@@ -604,15 +604,18 @@
 	return r == LimitExceeded || r == ConnectFailed || r == NotExecuted || r == NotSent
 }
 
-// settleMessage removes a message from its call. The first outcome is evaluated, the last one frees the slot.
+// settleMessage removes a message from its call. The first outcome of a message that was sent is evaluated,
+// the last one releases what the call occupies.
 func (d *Dispatcher) settleMessage(c *call, e *Event) {
 	c.pending--
 	d.attemptsInFlight--
+	c.sent = c.sent || e.Result != NotSent
 	if e.RetryAfter > 0 { // every outcome of a call may ask for a wait
 		c.ep.limiter.waitUntil = max(c.ep.limiter.waitUntil, d.now+e.RetryAfter+d.settings.Tick)
 		c.ep.dest.eachQueued(d.expire) // the wait outlasts the deadline of some messages
 	}
-	if c.pending == len(c.messages)-1 {
+	if !c.learned && c.sent {
+		c.learned = true
 		d.learnOutcome(c, e)
 	}
 	if c.pending > 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -135,6 +135,12 @@
 	pending int
 	// trial marks a trial of a suspected endpoint. cancelled tells that this dispatcher cancelled the call.
 	trial, cancelled bool
+	// learned tells that the endpoint's state was updated from the first outcome that tells of it. sent tells that at least one of
+	// the messages was sent.
+	learned, sent bool
+	// rampCost is the number of ramp tokens that the call took. trialInterval is the interval of its endpoint before the trial.
+	rampCost      float64
+	trialInterval Time
 	// connReset tells that the connection broke.
 	connReset bool
 	// connIdle is how long the connection had been idle before the call. It is 0 for a new connection or one in use.
--- a/control/usage.go
+++ b/control/usage.go
@@ -101,20 +101,32 @@
 	d.reindex(ep.dest)
 	lim.tokens--
 	if !c.trial || d.outageConfirmed(ep) { // the trial that confirms an outage does not belong to the ramp
-		ep.rampTokens -= 1 + batchRampCost*float64(len(c.messages)-1)
+		c.rampCost = 1 + batchRampCost*float64(len(c.messages)-1)
+		ep.rampTokens -= c.rampCost
 	}
 	if c.trial {
+		c.trialInterval = ep.trialInterval
 		ep.trialAt = d.now + ep.trialInterval + Time(d.random()*float64(ep.trialInterval)/4)
 		ep.trialInterval = min(Time(float64(ep.trialInterval)*trialBackoffFactor), maxTrialInterval)
 	}
 }
 
-// release gives back the slot and the place in the window of a call that has ended.
+// release gives back the slot and the place in the window of a call that has ended. If nothing of the call was sent, the endpoint has
+// not seen it, so its tokens and its trial are given back, too.
 func (d *Dispatcher) release(c *call) {
+	ep := c.ep
 	d.busySlots--
-	c.ep.dest.inFlight--
-	c.ep.calls = slices.DeleteFunc(c.ep.calls, func(o *call) bool { return o == c })
-	c.ep.usedAt = d.now
-	d.freedEndpoints = append(d.freedEndpoints, c.ep)
-	d.wakeUp(c.ep.dest)
+	ep.dest.inFlight--
+	ep.calls = slices.DeleteFunc(ep.calls, func(o *call) bool { return o == c })
+	ep.usedAt = d.now
+	d.freedEndpoints = append(d.freedEndpoints, ep)
+	d.wakeUp(ep.dest)
+	if c.sent {
+		return
+	}
+	ep.limiter.tokens++
+	ep.rampTokens += c.rampCost
+	if c.trial {
+		ep.trialAt, ep.trialInterval = d.now, c.trialInterval
+	}
 }
