An attempt that was not recorded is taken for a failing ledger only while the ledger fails

What callers would see: after a moment's disk failure, messages of all classes that need a record wait until their time ends, until the disk fails once more and is repaired, or the process restarts.

Cause: the pool's loop reports NotRecorded, and the storage goroutine reports LedgerWritable. A repair that is faster than the report of the attempt put the two in the wrong order, and recordingFails stayed set.

Change: the engine asks the ledger when it handles NotRecorded. If it does not fail any more, nothing is said to the library; if it does, LedgerWritable is still to come.

Evidence: TestLedgerRepairedBeforeTheOutcome fails on the text before ("not sent again") and passes now. The order was forced in the test; it was not seen on a running node.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -150,6 +150,9 @@
 
 	// RecordOutages records changes of what is known of outages.
 	RecordOutages(changed []control.Outage)
+
+	// Failing reports whether attempts can't be recorded now. Once that is over, an input with LedgerWritable follows.
+	Failing() bool
 }
 
 // ErrRecordUncertain means that a message may or may not be on record.
@@ -600,7 +603,8 @@
 	if outcome.RetryAfter > 0 {
 		c.applyRetryAfter(attempt, outcome.RetryAfter)
 	}
-	if outcome.Kind == NotRecorded {
+	// The ledger may have been repaired since, and the input that says so may have come before.
+	if outcome.Kind == NotRecorded && c.options.Ledger != nil && c.options.Ledger.Failing() {
 		c.events = append(c.events, control.Event{Kind: control.RecordingStatus, RecordingFails: true})
 	}
 	c.events = append(c.events, control.Event{Kind: control.Outcome, Message: attempt.Message.ID, Attempt: attempt.Number, Endpoint: attempt.Endpoint,
--- a/internal/engine/ledger_test.go
+++ b/internal/engine/ledger_test.go
@@ -15,7 +15,9 @@
 type spy struct {
 	lines      []string
 	ledgerFull bool
-	calls      [][]*Attempt
+	// ledgerRepaired tells that attempts can be recorded again.
+	ledgerRepaired bool
+	calls          [][]*Attempt
 }
 
 func (b *spy) add(format string, args ...any) {
@@ -34,6 +36,7 @@
 	b.add("back %s %v", a.Message.ExternalID, e.PossiblyExecuted)
 }
 func (b *spy) RecordOutages([]control.Outage)     {}
+func (b *spy) Failing() bool                      { return !b.ledgerRepaired }
 func (b *spy) RecordFinish(m *Message, a *Answer) { b.add("over %s %v", m.ExternalID, a != nil) }
 func (b *spy) Accepted(m *Message)                { b.add("told %s", m.ExternalID) }
 func (b *spy) Answer(m *Message, a Answer)        { b.add("final %s %v", m.ExternalID, a.Kind) }
@@ -216,6 +219,23 @@
 	b.want(t, "start 1")
 }
 
+// TestLedgerRepairedBeforeTheOutcome checks an attempt that could not be recorded and whose outcome is overtaken by the ledger's repair.
+// The library took the ledger for failing from then on, and sent nothing that needs a record any more.
+func TestLedgerRepairedBeforeTheOutcome(t *testing.T) {
+	b, c := newSpy(t)
+	in := b.msg(1, 2, 10)
+	in.Submit.Class = 2 // Deduplicated.
+	c.Round(2*control.Second, []Input{in})
+	b.take()
+	b.ledgerRepaired = true
+	c.Round(2*control.Second+1000, []Input{{LedgerWritable: true}})
+	c.Round(2*control.Second+2000, []Input{{Outcome: &Outcome{Seq: b.calls[0][0].Seq, Kind: NotRecorded}}})
+	c.Round(2*control.Second+50*control.Millisecond, nil)
+	if got := b.take(); !slices.Contains(got, "start 1") {
+		t.Errorf("not sent again: %q", got)
+	}
+}
+
 // TestTakenBack checks that an unwritten attempt is cancelled when its endpoint drains or its destination asks to wait.
 func TestTakenBack(t *testing.T) {
 	b, c := newSpy(t)
--- a/internal/engine/usage_test.go
+++ b/internal/engine/usage_test.go
@@ -111,6 +111,7 @@
 func (*unreliableLedger) RecordAttemptEnd(*Attempt, safety.AttemptResult) {}
 func (*unreliableLedger) RecordFinish(*Message, *Answer)                  {}
 func (*unreliableLedger) RecordOutages([]control.Outage)                  {}
+func (*unreliableLedger) Failing() bool                                   { return false }
 
 // Whatever records fail and however attempts end, nothing is in use once all messages have ended, and the sums are right on the way.
 func TestNothingIsInUseAtRest(t *testing.T) {
--- a/internal/platform/ledgeradapter.go
+++ b/internal/platform/ledgeradapter.go
@@ -204,6 +204,9 @@
 	la.logFailure(la.ledger.UpdateOutages(all))
 }
 
+// Failing implements engine.Ledger.
+func (la *ledgerAdapter) Failing() bool { return la.ledger.Failing() }
+
 // toLedgerOutage converts an outage to the form of the ledger.
 func (la *ledgerAdapter) toLedgerOutage(o *control.Outage) ledger.Outage {
 	instant := func(t control.Time) clock.Instant {
