outbound: a call on its way back from a lost connection keeps its endpoint in the pool

What callers would see: a message that occupies a slot and a place in its partner's window until its time is over, though nothing keeps it from being sent.

Cause: an endpoint without connections, dials and pending calls is deleted from the pool. Between the loss of a connection and the return of its unwritten calls to the queue there are none, and another call's end or a wait for a proof may look just then. The calls then waited in the queue of an endpoint that the scheduler did not know any more.

Change: an endpoint counts the calls that have not ended, wherever they are, and stays while there are any.

Evidence: TestCallOfALostConnectionIsNotForgotten forces the order; it fails on the text before ("no connection came") and passes now. The order was found by reading and not seen on a running node.

--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -171,6 +171,8 @@
 	conns []*conn
 	// pending is the queue of calls for which no connection has capacity.
 	pending []*call
+	// calls counts the calls that have not ended, wherever they are: pending, on a connection, or on the way between the two.
+	calls int
 	// dialing counts the connections that are being opened and those that cannot carry calls yet.
 	dialing int
 	// requested is true while the scheduler holds a request of this endpoint.
@@ -345,6 +347,7 @@
 		p.endpoints[ep] = s
 	}
 	k := &call{endpoint: s, remaining: len(attempts)}
+	s.calls++
 	for _, a := range attempts {
 		t := &attemptState{attempt: a, call: k}
 		k.attempts = append(k.attempts, t)
@@ -374,9 +377,9 @@
 			s.requested = false
 			p.scheduler.Remove(uint64(s.id))
 		}
-		// An end that is reported late for an endpointPool that was deleted must not delete the one that replaced
-		// it.
-		if len(s.conns) == 0 && s.dialing == 0 && len(s.pending) == 0 && p.endpoints[s.id] == s {
+		// The call that an end is reported for may have been the last one of an endpointPool that was deleted. The one that
+		// replaced it stays.
+		if len(s.conns) == 0 && s.dialing == 0 && s.calls == 0 && p.endpoints[s.id] == s {
 			delete(p.endpoints, s.id)
 		}
 		return
@@ -538,7 +541,9 @@
 	t.ended = true
 	delete(p.attempts, t.attempt.Seq)
 	k := t.call
-	k.remaining--
+	if k.remaining--; k.remaining == 0 {
+		k.endpoint.calls--
+	}
 	switch c := k.conn; {
 	case c != nil && k.remaining == 0:
 		if c.inFlight--; c.inFlight == 0 {
