outbound: a connection whose peer allows no streams for a moment is used again

What callers would see: no message is sent to a partner of serve (HTTP/2) any more, until the partner closes its connections.

Cause: requeue marked a connection without capacity as not usable, for good. Later SETTINGS raised its capacity, but not that mark; and as it was not listed as idle either, it was never closed and kept its place among the connections of its endpoint.

Change: only an ended connection is not usable. One without capacity gets no calls, as its capacity is 0, and counts as idle.

Evidence: TestConnWithoutStreamsForAMomentIsUsedAgain fails on the text before ("no end came") and passes now, 30 of 30 times. Found by reading; a partner that does so was played by a stand-in.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -272,8 +272,9 @@
 	p := c.pool
 	st := c.session.state()
 	p.mu.Lock()
+	// Without capacity the connection gets no calls, and is used again once its peer allows more, or closed when it has been idle.
 	c.capacity = min(c.capacity, st.capacity)
-	c.usable = c.usable && st.capacity > 0 && !st.done
+	c.usable = c.usable && !st.done
 	// All attempts of the call have ended, and reportEnd has taken the call off the connection.
 	if k.remaining == 0 {
 		p.mu.Unlock()
--- a/internal/outbound/usage_test.go
+++ b/internal/outbound/usage_test.go
@@ -3,11 +3,14 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"whinrun/control"
+	"whinrun/internal/clock"
 	"whinrun/internal/engine"
+	"whinrun/internal/h2"
 )
 
 // hookedProtocol is a Protocol whose sessions call a function when their connection is lost.
@@ -95,3 +98,99 @@
 	}
 	tp.wantEnd(engine.Answered, 200)
 }
+
+// streamPeer is a partner that answers every request on its connections with 201.
+type streamPeer struct {
+	listener net.Listener
+	// maxStreams changes the number of streams that the peer allows.
+	maxStreams chan uint32
+}
+
+// newStreamPeer starts a partner.
+func newStreamPeer(t *testing.T) *streamPeer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	p := &streamPeer{ln, make(chan uint32)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p
+}
+
+// serve answers the requests on one connection.
+func (p *streamPeer) serve(c net.Conn) {
+	start := time.Now()
+	server := h2.NewServer(h2.Config{MaxStreams: 10}, 0)
+	_, _ = c.Write(server.Output())
+	input := make(chan []byte)
+	go func() {
+		defer close(input)
+		for {
+			b := make([]byte, 4096)
+			n, err := c.Read(b)
+			if err != nil {
+				return
+			}
+			input <- b[:n]
+		}
+	}()
+	for {
+		select {
+		case b, ok := <-input:
+			if !ok {
+				return
+			}
+			events, _ := server.Receive(time.Since(start), b)
+			for _, e := range events {
+				if e.Kind == h2.Headers {
+					_ = server.Respond(time.Since(start), e.Stream, []h2.Field{{Name: ":status", Value: "201"}}, nil)
+				}
+			}
+		case n := <-p.maxStreams:
+			server.SetMaxStreams(time.Since(start), n)
+		}
+		_, _ = c.Write(server.Output())
+	}
+}
+
+// A partner allows no streams for a moment while a call is on its way to the connection. The connection was not used any more, and was
+// not idle either, so that it kept its place for good. With all places taken so, nothing was sent to the partner.
+func TestConnWithoutStreamsForAMomentIsUsedAgain(t *testing.T) {
+	peer := newStreamPeer(t)
+	tp := &testPool{t: t, clock: clock.New(), ends: make(chan engine.Outcome, 64)}
+	cfg := testConfig()
+	cfg.MaxConnsPerEndpoint = 1
+	var err error
+	if tp.p, err = New(cfg, NewHTTP2(testCodec{netip.MustParseAddrPort(peer.listener.Addr().String())}), tp.clock, func(e engine.Outcome) { tp.ends <- e }); err != nil {
+		t.Fatal(err)
+	}
+	defer tp.p.Close()
+	tp.start("first")
+	tp.wantEnd(engine.Answered, 201)
+	tp.assignUnwritten("second")
+	peer.maxStreams <- 0
+	// The call has left the connection.
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		tp.p.mu.Lock()
+		pending := len(tp.p.endpoints[1].pending)
+		tp.p.mu.Unlock()
+		if pending == 1 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the call is not back in the queue")
+		}
+	}
+	peer.maxStreams <- 10
+	tp.wantEnd(engine.Answered, 201)
+}
