--- a/internal/dialscheduler/dialscheduler.go
+++ b/internal/dialscheduler/dialscheduler.go
@@ -138,6 +138,9 @@
 // Pending returns the number of requests in the queues.
 func (s *Scheduler) Pending() int { return len(s.requests) }
 
+// InUse returns the number of open connections and that of handshakes under way.
+func (s *Scheduler) InUse() (conns, handshakes int) { return s.conns, s.handshakes }
+
 // Decision tells the caller of Next what to do.
 type Decision uint8
 
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -418,6 +418,14 @@
 	}
 }
 
+// Reserved returns the number of reservations that are neither filled nor released, in queues that are not removed.
+func (b *Broker) Reserved() (places int) {
+	for _, q := range b.queues {
+		places += q.reserved
+	}
+	return places
+}
+
 // Usage returns the number of queues, and of ready and unacknowledged answers in them.
 func (b *Broker) Usage() (queues, answers int) {
 	for _, q := range b.queues {
--- a/internal/outbound/assign_test.go
+++ b/internal/outbound/assign_test.go
@@ -100,14 +100,24 @@
 	}
 }
 
+// beginEndlessDials has the pool count this number of dials to endpoint 1 until the end of the test.
+func (tp *testPool) beginEndlessDials(n int) {
+	s := tp.p.endpoints[1]
+	count := func(n int) {
+		tp.p.mu.Lock()
+		defer tp.p.mu.Unlock()
+		s.dialing += n
+	}
+	count(n)
+	tp.t.Cleanup(func() { count(-n) })
+}
+
 // Guards against calls that wait behind one that waits for a proof, while a connection is free.
 func TestWaitForAProofKeepsNoOther(t *testing.T) {
 	tp, c := newDoubtfulConn(t, 2)
 	tp.start("c")
 	tp.read(c)
-	tp.p.mu.Lock()
-	tp.p.endpoints[1].dialing += 2 // Dials that never end.
-	tp.p.mu.Unlock()
+	tp.beginEndlessDials(2)
 	tp.startOnce("d")
 	tp.start("e")
 	_, _ = c.Write([]byte(okAnswer))
@@ -120,10 +130,7 @@
 // Guards against a call that waits for good: if no new connection comes up in time, the doubtful one is used.
 func TestWaitForAProofIsBounded(t *testing.T) {
 	tp, c := newDoubtfulConn(t, 2)
-	tp.p.mu.Lock()
-	// A dial that never ends.
-	tp.p.endpoints[1].dialing++
-	tp.p.mu.Unlock()
+	tp.beginEndlessDials(1)
 	tp.startOnce("c")
 	if got := tp.read(c); !strings.Contains(got, "/c") {
 		t.Errorf("%q on the doubtful connection", got)
--- a/internal/outbound/http1_test.go
+++ b/internal/outbound/http1_test.go
@@ -135,6 +135,9 @@
 	t.Cleanup(func() {
 		tp.p.Close()
 		_ = ln.Close()
+		if err := tp.p.CheckUsage(); err != nil {
+			t.Error(err)
+		}
 	})
 	return tp
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -47,6 +47,8 @@
 	// auditLog is nil if no audit trail is kept.
 	auditLog *audit.Recorder
 	trail    *auditTrail
+	// mailboxes holds the queues of answers.
+	mailboxes *mailbox.SharedBroker
 
 	background *backgroundTasks
 }
@@ -166,6 +168,7 @@
 			return err
 		}
 	}
+	s.mailboxes = mailboxes
 	s.startBackground(mailboxes)
 	admitter := s.admission.AddFrontend("push")
 	if err := listenOn("push", cfg.Front, admitter, pushfront.SessionFactory(cfg.Push, push.NewRequestParser(rules), ids, admitter, mailboxes, s.now)); err != nil || cfg.AMQP.Address == "" {
