Test of sums at rest: bodies whose end never comes, with a receipt reserved

Change: every fourth body of the push clients has no end until the client gives up, with and without a receipt subscription.

--- a/internal/service/usage_test.go
+++ b/internal/service/usage_test.go
@@ -43,7 +43,7 @@
 				case 0:
 					postAndGiveUp(dispatcher, giveUpAfter, body)
 				case 1:
-					postAndGiveUp(dispatcher, giveUpAfter, body, "Prefer", "respond-async", "Push-Receipt", []string{queue, "/receipts/t/none"}[i%2])
+					postAndGiveUp(dispatcher, giveUpAfter, body, "Prefer", "respond-async", "Push-Receipt", []string{queue, "/receipts/t/none"}[i/4%2])
 				case 2:
 					publishAndGiveUp(dispatcher, giveUpAfter, body, []string{"answers", "none", ""}[i%3], 1<<20)
 				default:
@@ -75,7 +75,15 @@
 	}
 }
 
-// postAndGiveUp posts a message on a connection of its own, and closes it after a time.
+// endlessReader blocks until its context ends.
+type endlessReader struct{ context.Context }
+
+func (r endlessReader) Read([]byte) (int, error) {
+	<-r.Done()
+	return 0, r.Err()
+}
+
+// postAndGiveUp posts a message on a connection of its own, and closes it after a time. Of a body that begins with "d" the end never comes.
 func postAndGiveUp(dispatcher *Service, after time.Duration, body string, fields ...string) {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
@@ -83,7 +91,11 @@
 	defer transport.CloseIdleConnections()
 	ctx, stop := context.WithTimeout(context.Background(), after)
 	defer stop()
-	request, err := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%v/p/status", dispatcher.Addr()), strings.NewReader(body))
+	content := io.Reader(strings.NewReader(body))
+	if strings.HasPrefix(body, "d") {
+		content = io.MultiReader(content, endlessReader{ctx})
+	}
+	request, err := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%v/p/status", dispatcher.Addr()), content)
 	if err != nil {
 		return
 	}
