Test of sums at rest: the queues of answers are emptied on the way, so that places are reserved

The receipts that nobody took filled the queue, and every later reservation was refused, also those of the bodies without an end.

Change: the test empties both queues as its clients end, queues hold 12 answers in place of 4 (full ones are still met), and the endless bodies fall on other sizes.

--- a/internal/service/usage_test.go
+++ b/internal/service/usage_test.go
@@ -23,7 +23,7 @@
 		time.Sleep(20 * time.Millisecond)
 		w.WriteHeader(map[byte]int{'a': 201, 'b': 500, 'c': 429, 'd': 201}[(string(body) + "a")[0]])
 	})
-	dispatcher := startService(t, addr, amqpSettings+"[limits]\nhold = 16\nhold-bytes = 128KiB\nbody = 64KiB\n[answers]\nqueue-length = 4\nqueues = 8\n")
+	dispatcher := startService(t, addr, amqpSettings+"[limits]\nhold = 16\nhold-bytes = 128KiB\nbody = 64KiB\n[answers]\nqueue-length = 12\nqueues = 8\n")
 	defer dispatcher.Kill()
 	response, _ := doRequest(t, dispatcher, "POST", "/receipts/t", "")
 	queue := response.Header.Get("Location")
@@ -37,7 +37,7 @@
 		go func() {
 			defer func() { done <- struct{}{} }()
 			for i := range 12 {
-				body := strings.Repeat(string("abcd"[i%4]), []int{1, 3000, 60_000, 70_000}[(worker+i/4)%4])
+				body := strings.Repeat(string("abcd"[(i+i/4)%4]), []int{1, 3000, 60_000, 70_000}[(worker+i/4)%4])
 				giveUpAfter := time.Duration(1+(7*i+worker)%45) * time.Millisecond
 				switch worker % 4 {
 				case 0:
@@ -54,6 +54,15 @@
 	}
 	for range workers {
 		<-done
+		// The queues are emptied now and then: both full ones and ones with room are met.
+		for _, name := range []string{"answers", strings.TrimPrefix(queue, "/receipts/t/")} {
+			dispatcher.mailboxes.Lock()
+			_, err := dispatcher.mailboxes.Purge(0, name, 0)
+			dispatcher.mailboxes.Unlock()
+			if err != nil {
+				t.Error(err)
+			}
+		}
 	}
 	stats := dispatcher.Stats()
 	for deadline := time.Now().Add(8 * time.Second); stats.Open+stats.InFlight > 0 && time.Now().Before(deadline); stats = dispatcher.Stats() {
