--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -70,9 +70,16 @@
 	exchange, key string
 }
 
+// Identity tells the names that one process generates from those of all others. Clients hold names for longer than a process lives.
+type Identity struct {
+	// Epoch is a part of each generated name. No two processes have the same.
+	Epoch string
+}
+
 // Broker holds all queues and bindings.
 type Broker struct {
-	limits Limits
+	limits   Limits
+	identity Identity
 	queues map[queueKey]*queue
 	// queuesByTenant is the number of queues of each tenant that has any.
 	queuesByTenant map[int]int
@@ -87,8 +94,8 @@
 }
 
 // New returns a Broker without queues.
-func New(l Limits) *Broker {
-	return &Broker{limits: l, queues: map[queueKey]*queue{}, queuesByTenant: map[int]int{}, bindings: map[bindingKey]*queue{}}
+func New(l Limits, id Identity) *Broker {
+	return &Broker{limits: l, identity: id, queues: map[queueKey]*queue{}, queuesByTenant: map[int]int{}, bindings: map[bindingKey]*queue{}}
 }
 
 // queue holds answers in the order in which they became known.
@@ -157,11 +164,7 @@
 		return "", 0, 0, ErrTooManyQueues
 	}
 	if spec.Name == "" {
-		// Generated names of an earlier process may be in use: queues are restored at the start.
-		for spec.Name == "" || b.queues[queueKey{tenant, spec.Name}] != nil {
-			b.lastGeneratedName++
-			spec.Name = fmt.Sprintf("amq.gen-%d", b.lastGeneratedName)
-		}
+		spec.Name = b.generateName()
 	}
 	q := &queue{queueKey: queueKey{tenant, spec.Name}, spec: spec, lastUsed: now}
 	b.queues[q.queueKey] = q
@@ -169,6 +172,12 @@
 	return spec.Name, 0, 0, nil
 }
 
+// generateName returns a queue name that neither this process nor another one has given to anybody.
+func (b *Broker) generateName() string {
+	b.lastGeneratedName++
+	return fmt.Sprintf("amq.gen-%s-%d", b.identity.Epoch, b.lastGeneratedName)
+}
+
 // find returns a queue if the connection owner may use it, or else ErrNotFound or ErrLocked.
 func (b *Broker) find(tenant int, name string, owner uint64) (*queue, error) {
 	q := b.queues[queueKey{tenant, name}]
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/mailbox/mailbox_test.go
@@ -30,7 +30,7 @@
 
 // newTestBroker returns a Broker with small limits and the given queues of tenant 0.
 func newTestBroker(t *testing.T, queues ...QueueSpec) *Broker {
-	b := New(Limits{QueuesPerTenant: 4, QueueLength: 6, Idle: time.Minute})
+	b := New(Limits{QueuesPerTenant: 4, QueueLength: 6, Idle: time.Minute}, Identity{Epoch: "test"})
 	for _, s := range queues {
 		if _, _, _, err := b.Declare(0, 0, s, false); err != nil {
 			t.Fatal(err)
@@ -222,7 +222,7 @@
 
 // Ready answers older than Keep are dropped, and no others.
 func TestOldAnswersDropped(t *testing.T) {
-	b := New(Limits{QueuesPerTenant: 4, QueueLength: 6, Keep: time.Minute})
+	b := New(Limits{QueuesPerTenant: 4, QueueLength: 6, Keep: time.Minute}, Identity{Epoch: "test"})
 	_, _, _, _ = b.Declare(0, 0, QueueSpec{Name: "q"}, false)
 	for i := range 3 {
 		p, _ := b.Reserve(0, "q", "", "")
@@ -244,7 +244,7 @@
 // Whatever consumers do, no answer is lost, none is acknowledged twice, and the queue stays within its length.
 func TestNoAnswerLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := New(Limits{QueuesPerTenant: 4, QueueLength: 20})
+		b := New(Limits{QueuesPerTenant: 4, QueueLength: 20}, Identity{Epoch: "test"})
 		_, _, _, _ = b.Declare(0, 0, QueueSpec{Name: "q"}, false)
 		type reader struct {
 			ch *Channel
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -161,7 +161,7 @@
 		}
 		return err
 	}
-	mailboxes := &mailbox.SharedBroker{Broker: mailbox.New(cfg.Mailbox)}
+	mailboxes := &mailbox.SharedBroker{Broker: mailbox.New(cfg.Mailbox, mailbox.Identity{Epoch: ids.Epoch})}
 	if s.auditLog != nil {
 		mailboxes.Key, mailboxes.OnChange = s.auditLog.Key(), s.trail.receiptChanged
 		if err := s.restoreReceipts(mailboxes, rules); err != nil {
