--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -218,8 +218,8 @@
 		if _, err := Resume(s, k, wall); err != nil {
 			b.Fatal(err)
 		}
-		if _, owed, err := UnfetchedReceipts(s, time.Time{}); err != nil || len(owed) != 2500 {
-			b.Fatal(len(owed), err)
+		if receipts, err := ReadReceipts(s, time.Time{}); err != nil || len(receipts.Unfetched) != 2500 {
+			b.Fatal(len(receipts.Unfetched), err)
 		}
 		_ = s.Close(1)
 	}
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -31,10 +31,11 @@
 	Seal                              // the chain of all records before this one was signed [Seal]
 	Subscribed                        // a receipt subscription was made [Tenant Receipt]
 	Fetched                           // a receipt was fetched from its subscription [Message Tenant Receipt]
+	Unsubscribed                      // a receipt subscription was removed with its receipts [Tenant Receipt]
 )
 
 // kindNames are the names of the kinds in output and in labels.
-var kindNames = [...]string{"", "begin", "accepted", "attempt", "ended", "answered", "withdrawn", "learned", "gap", "seal", "subscribed", "fetched"}
+var kindNames = [...]string{"", "begin", "accepted", "attempt", "ended", "answered", "withdrawn", "learned", "gap", "seal", "subscribed", "fetched", "unsubscribed"}
 
 // String returns the name of a kind, or its number if it is unknown.
 func (k Kind) String() string {
@@ -143,8 +144,10 @@
 		add('p', r.Partner)
 	case Seal, DispatcherStarted, Gap, Subscribed:
 		add('k', r.Kind.String())
+	case Unsubscribed: // It is found with what it ends.
+		add('k', Subscribed.String())
 	}
-	if r.Receipt != "" && r.Kind != Subscribed {
+	if r.Receipt != "" && r.Kind != Subscribed && r.Kind != Unsubscribed {
 		add('k', "receipt")
 	}
 	return all
--- a/internal/audit/recorder.go
+++ b/internal/audit/recorder.go
@@ -134,9 +134,28 @@
 // Key returns the key that signs seals and receipts.
 func (k *Recorder) Key() *Key { return k.key }
 
-// UnfetchedReceipts reads the subscriptions and the receipts that were not fetched; see the function of that name.
-func (k *Recorder) UnfetchedReceipts(since time.Time) ([]*Record, []*UnfetchedReceipt, error) {
-	return UnfetchedReceipts(k.store, since)
+// Receipts reads what the trail tells of receipts; see ReadReceipts.
+func (k *Recorder) Receipts(since time.Time) (Receipts, error) { return ReadReceipts(k.store, since) }
+
+// Flush waits until the records that were enqueued so far are on disk. It returns early, with an error, if the disk fails or that takes
+// longer than the given time.
+func (k *Recorder) Flush(within time.Duration) error {
+	k.store.RequestCommit()
+	k.signal()
+	for deadline := k.now() + within; ; time.Sleep(time.Millisecond) {
+		if err := k.Failing(); err != nil {
+			return err
+		}
+		k.mu.Lock()
+		queued := len(k.queue)
+		k.mu.Unlock()
+		if _, pending := k.store.NextCommit(); queued == 0 && !pending {
+			return nil
+		}
+		if k.now() > deadline {
+			return fmt.Errorf("audit: records are not on disk after %v", within)
+		}
+	}
 }
 
 // Failing returns the error of the disk while it fails, and nil while it works.
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -33,7 +33,7 @@
 	ErrAlreadyBound = errors.New("the binding leads to another queue already")
 	// ErrConsumerTagInUse is returned by Consume for a tag of another consumer of the channel.
 	ErrConsumerTagInUse = errors.New("the consumer tag is taken")
-	// ErrUnknownDelivery is returned for a delivery tag or sequence number that names no answer.
+	// ErrUnknownDelivery is returned for a delivery tag or number that names no answer.
 	ErrUnknownDelivery = errors.New("no such delivery is waiting for an acknowledgement")
 )
 
@@ -54,6 +54,8 @@
 type QueueSpec struct {
 	Name                  string
 	Exclusive, AutoDelete bool
+	// Subscription marks the queue of a receipt subscription, whose removal is reported to Broker.OnChange.
+	Subscription bool
 	// Owner is the number of the connection that declares the queue.
 	Owner uint64
 }
@@ -80,17 +82,49 @@
 type Broker struct {
 	limits   Limits
 	identity Identity
-	queues map[queueKey]*queue
+	queues   map[queueKey]*queue
 	// queuesByTenant is the number of queues of each tenant that has any.
 	queuesByTenant map[int]int
 	bindings       map[bindingKey]*queue
-	// lastSequence is the sequence number of the latest answer in any queue.
-	lastSequence uint64
+	// lastNumber is the number of the latest reservation in any queue.
+	lastNumber uint64
 	// lastGeneratedName is the number in the latest generated queue name or consumer tag.
 	lastGeneratedName uint64
 	// DroppedAnswers counts the answers that were dropped because their queue was removed or purged, or because they were
 	// older than Keep.
 	DroppedAnswers uint64
+
+	// OnChange is called with each Change. It must neither block nor call the Broker. It may be nil.
+	OnChange func(Change)
+}
+
+// ChangeKind is the kind of a Change.
+type ChangeKind uint8
+
+// Kinds of changes of receipt subscriptions. The broker reports SubscriptionRemoved itself, and its callers the others.
+const (
+	// SubscriptionMade means that a client has made a subscription.
+	SubscriptionMade ChangeKind = iota + 1
+	// SubscriptionRemoved means that a subscription is gone with its receipts, because it was idle or a client has deleted its queue.
+	SubscriptionRemoved
+	// ReceiptTaken means that a client has deleted a receipt.
+	ReceiptTaken
+)
+
+// Change is a change of receipt subscriptions that outlives the process.
+type Change struct {
+	Kind   ChangeKind
+	Tenant int
+	Queue  string
+	// Receipt is the receipt that was deleted.
+	Receipt *receipt.Receipt
+}
+
+// NotifyChange passes a change to OnChange, if that is set.
+func (b *Broker) NotifyChange(c Change) {
+	if b.OnChange != nil {
+		b.OnChange(c)
+	}
 }
 
 // New returns a Broker without queues.
@@ -98,11 +132,11 @@
 	return &Broker{limits: l, identity: id, queues: map[queueKey]*queue{}, queuesByTenant: map[int]int{}, bindings: map[bindingKey]*queue{}}
 }
 
-// queue holds answers in the order in which they became known.
+// queue holds answers in the order in which their messages were accepted.
 type queue struct {
 	queueKey
 	spec QueueSpec
-	// ready is sorted by sequence number.
+	// ready is sorted by number.
 	ready []queuedAnswer
 	// unacked is the number of unacknowledged deliveries from the queue.
 	unacked int
@@ -117,7 +151,7 @@
 
 // queuedAnswer is one answer in a queue.
 type queuedAnswer struct {
-	sequence uint64
+	number   uint64
 	queuedAt time.Duration
 	payload  any
 	// redelivered is set if the answer was delivered before.
@@ -166,10 +200,16 @@
 	if spec.Name == "" {
 		spec.Name = b.generateName()
 	}
+	b.addQueue(now, tenant, spec)
+	return spec.Name, 0, 0, nil
+}
+
+// addQueue creates a queue.
+func (b *Broker) addQueue(now time.Duration, tenant int, spec QueueSpec) *queue {
 	q := &queue{queueKey: queueKey{tenant, spec.Name}, spec: spec, lastUsed: now}
 	b.queues[q.queueKey] = q
 	b.queuesByTenant[tenant]++
-	return spec.Name, 0, 0, nil
+	return q
 }
 
 // generateName returns a queue name that neither this process nor another one has given to anybody.
@@ -224,6 +264,9 @@
 		}
 	}
 	delete(b.queues, q.queueKey)
+	if q.spec.Subscription {
+		b.NotifyChange(Change{Kind: SubscriptionRemoved, Tenant: q.tenant, Queue: q.name})
+	}
 	if b.queuesByTenant[q.tenant]--; b.queuesByTenant[q.tenant] == 0 {
 		delete(b.queuesByTenant, q.tenant)
 	}
@@ -273,6 +316,7 @@
 type Reservation struct {
 	broker *Broker
 	queue  *queue
+	number uint64
 }
 
 // Reserve reserves a place in the queue that replyTo names or, if replyTo is empty, in the queue that is bound to the
@@ -293,7 +337,8 @@
 		return nil, ErrQueueFull
 	}
 	q.reserved++
-	return &Reservation{b, q}, nil
+	b.lastNumber++
+	return &Reservation{b, q, b.lastNumber}, nil
 }
 
 // Release gives the place back without an answer.
@@ -309,11 +354,28 @@
 		r.broker.DroppedAnswers++
 		return
 	}
-	r.broker.lastSequence++
-	r.queue.ready = append(r.queue.ready, queuedAnswer{sequence: r.broker.lastSequence, queuedAt: now, payload: payload})
+	r.queue.insert(queuedAnswer{number: r.number, queuedAt: now, payload: payload})
 	r.broker.dispatch(r.queue)
 }
 
+// RestoredAnswer is an answer of an earlier process.
+type RestoredAnswer struct {
+	// Age is the time since the answer became known.
+	Age     time.Duration
+	Payload any
+}
+
+// Restore puts an answer of an earlier process into the queue of a receipt subscription. It creates the queue if there is none. No limit
+// applies, because the answer had its place before.
+func (b *Broker) Restore(now time.Duration, tenant int, name string, a RestoredAnswer) {
+	q := b.queues[queueKey{tenant, name}]
+	if q == nil {
+		q = b.addQueue(now, tenant, QueueSpec{Name: name, Subscription: true})
+	}
+	b.lastNumber++
+	q.insert(queuedAnswer{number: b.lastNumber, queuedAt: now - a.Age, payload: a.Payload})
+}
+
 // dispatch delivers the ready answers of a queue to its consumers round robin, while any has capacity.
 func (b *Broker) dispatch(q *queue) {
 	for len(q.ready) > 0 {
@@ -339,18 +401,28 @@
 	return nil
 }
 
-// requeue puts an answer back in its place by sequence number and marks it as redelivered.
+// requeue puts an answer back in its place and marks it as redelivered.
 func (q *queue) requeue(answer queuedAnswer) {
 	answer.redelivered = true
-	i, _ := slices.BinarySearchFunc(q.ready, answer.sequence, func(x queuedAnswer, seq uint64) int { return cmp.Compare(x.sequence, seq) })
+	q.insert(answer)
+}
+
+// insert puts an answer in its place by number.
+func (q *queue) insert(answer queuedAnswer) {
+	i, _ := q.find(answer.number)
 	q.ready = slices.Insert(q.ready, i, answer)
 }
 
+// find returns the place of a number among the ready answers, and whether it is there.
+func (q *queue) find(number uint64) (int, bool) {
+	return slices.BinarySearchFunc(q.ready, number, func(x queuedAnswer, no uint64) int { return cmp.Compare(x.number, no) })
+}
+
 // PendingAnswer is a ready answer as Peek returns it, for readers without a Channel. It stays in the queue until Take
-// removes it by its sequence number.
+// removes it by its number.
 type PendingAnswer struct {
-	Sequence uint64
-	Payload  any
+	Number  uint64
+	Payload any
 }
 
 // Peek returns up to limit ready answers from the front of a queue. Exclusive queues give ErrLocked.
@@ -362,20 +434,20 @@
 	q.lastUsed = now
 	var answers []PendingAnswer
 	for _, answer := range q.ready[:min(limit, len(q.ready))] {
-		answers = append(answers, PendingAnswer{answer.sequence, answer.payload})
+		answers = append(answers, PendingAnswer{answer.number, answer.payload})
 	}
 	return answers, nil
 }
 
-// Take removes a ready answer from a queue by its sequence number and returns it. It returns ErrUnknownDelivery if
-// there is none. Exclusive queues give ErrLocked.
-func (b *Broker) Take(now time.Duration, tenant int, name string, sequence uint64) (payload any, err error) {
+// Take removes a ready answer from a queue by its number and returns it. It returns ErrUnknownDelivery if there is none. Exclusive
+// queues give ErrLocked.
+func (b *Broker) Take(now time.Duration, tenant int, name string, number uint64) (payload any, err error) {
 	q, err := b.find(tenant, name, 0)
 	if err != nil {
 		return nil, err
 	}
 	q.lastUsed = now
-	i, ok := slices.BinarySearchFunc(q.ready, sequence, func(x queuedAnswer, no uint64) int { return cmp.Compare(x.sequence, no) })
+	i, ok := q.find(number)
 	if !ok {
 		return nil, ErrUnknownDelivery
 	}
@@ -391,17 +463,6 @@
 	*Broker
 	// Key signs the receipts that are given to clients. If it is nil they are not signed.
 	Key receipt.Signer
-
-	// OnChange is called when a receipt subscription is created, with taken nil, and when a receipt is taken from its
-	// queue. It must not block. It may be nil.
-	OnChange func(tenant int, name string, taken *receipt.Receipt)
-}
-
-// NotifyChange calls OnChange if it is set.
-func (r *SharedBroker) NotifyChange(tenant int, name string, taken *receipt.Receipt) {
-	if r.OnChange != nil {
-		r.OnChange(tenant, name, taken)
-	}
 }
 
 // Expire drops ready answers that are older than Keep, and removes queues that have been idle for longer than Idle.
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/mailbox/mailbox_test.go
@@ -233,10 +233,10 @@
 	if err != nil || len(all) != 2 || all[0].Payload != 1 || b.DroppedAnswers != 1 {
 		t.Errorf("%v %v, %d lost", all, err, b.DroppedAnswers)
 	}
-	if _, err := b.Take(0, 0, "q", all[1].Sequence); err != nil {
+	if _, err := b.Take(0, 0, "q", all[1].Number); err != nil {
 		t.Error(err)
 	}
-	if _, err := b.Take(0, 0, "q", all[1].Sequence); !errors.Is(err, ErrUnknownDelivery) {
+	if _, err := b.Take(0, 0, "q", all[1].Number); !errors.Is(err, ErrUnknownDelivery) {
 		t.Error("taken twice:", err)
 	}
 }
--- a/internal/pushfront/receipts.go
+++ b/internal/pushfront/receipts.go
@@ -153,7 +153,7 @@
 		taken, err := s.mailboxes.Take(now, tenant, segments[1], number)
 		s.mailboxes.Unlock()
 		if r, ok := taken.(*receipt.Receipt); ok {
-			s.mailboxes.NotifyChange(tenant, segments[1], r)
+			s.mailboxes.NotifyChange(mailbox.Change{Kind: mailbox.ReceiptTaken, Tenant: tenant, Queue: segments[1], Receipt: r})
 		}
 		return s.respondNoContent(e, err, now)
 	}
@@ -163,12 +163,14 @@
 // createSubscription creates a receipt subscription and responds with its path.
 func (s *session) createSubscription(e *h2.Event, tenant int, tenantName string, now time.Duration) *push.Problem {
 	s.mailboxes.Lock()
-	name, _, _, err := s.mailboxes.Declare(now, tenant, mailbox.QueueSpec{}, false)
+	name, _, _, err := s.mailboxes.Declare(now, tenant, mailbox.QueueSpec{Subscription: true}, false)
+	if err == nil {
+		s.mailboxes.NotifyChange(mailbox.Change{Kind: mailbox.SubscriptionMade, Tenant: tenant, Queue: name})
+	}
 	s.mailboxes.Unlock()
 	if err != nil {
 		return &push.Problem{Status: 503, Title: err.Error(), RetryAfter: time.Minute}
 	}
-	s.mailboxes.NotifyChange(tenant, name, nil)
 	_ = s.h2conn.Respond(now, e.Stream, []h2.Field{{Name: ":status", Value: "201"}, {Name: "location", Value: receiptsPath + tenantName + "/" + name}}, nil)
 	return nil
 }
@@ -193,7 +195,7 @@
 	entries := make([]receiptEntry, len(waiting))
 	for i, w := range waiting {
 		r := w.Payload.(*receipt.Receipt)
-		entries[i] = receiptEntry{No: w.Sequence, Receipt: r}
+		entries[i] = receiptEntry{No: w.Number, Receipt: r}
 		if s.mailboxes.Key != nil {
 			entries[i].Signed = r.Sign(s.mailboxes.Key)
 		}
--- a/internal/service/audit_trail.go
+++ b/internal/service/audit_trail.go
@@ -1,18 +1,13 @@
 package service
 
 import (
-	"fmt"
-
 	"whinrun/control"
 	"whinrun/internal/audit"
-	"whinrun/internal/clock"
 	"whinrun/internal/config"
 	"whinrun/internal/endpointlist"
 	"whinrun/internal/engine"
-	"whinrun/internal/intake"
 	"whinrun/internal/mailbox"
 	"whinrun/internal/push"
-	"whinrun/internal/receipt"
 )
 
 // auditTrail implements engine.Trail. It records what the engine does, with the names of partners, tenants and classes in
@@ -88,58 +83,16 @@
 	t.log.Enqueue(r)
 }
 
-// receiptChanged records that a receipt subscription was created, if taken is nil, or that a receipt was fetched.
-func (t *auditTrail) receiptChanged(tenant int, name string, taken *receipt.Receipt) {
-	r := &audit.Record{Kind: audit.Subscribed, Tenant: t.cfg.Intake.Tenants[tenant], Receipt: name}
-	if taken != nil {
-		r.Kind, r.Message = audit.Fetched, taken.Message
+// receiptChanged records a change of receipt subscriptions.
+func (t *auditTrail) receiptChanged(c mailbox.Change) {
+	r := &audit.Record{Tenant: t.cfg.Intake.Tenants[c.Tenant], Receipt: c.Queue}
+	switch c.Kind {
+	case mailbox.SubscriptionMade:
+		r.Kind = audit.Subscribed
+	case mailbox.SubscriptionRemoved:
+		r.Kind = audit.Unsubscribed
+	case mailbox.ReceiptTaken:
+		r.Kind, r.Message = audit.Fetched, c.Receipt.Message
 	}
 	t.log.Enqueue(r)
 }
-
-// restoreReceipts restores the receipts of messages that an earlier process accepted, if they were not fetched. A message without a
-// final answer gets the answer failed, because it may have been sent.
-func (s *Service) restoreReceipts(mailboxes *mailbox.SharedBroker, rules *intake.Registry) error {
-	since := clock.Wall().Add(-s.cfg.Mailbox.Keep)
-	subscriptions, pending, err := s.auditLog.UnfetchedReceipts(since)
-	if err != nil {
-		return fmt.Errorf("reading the receipts of earlier processes: %w", err)
-	}
-	restored := 0
-	for _, r := range subscriptions {
-		if tenant, ok := rules.Tenant(r.Tenant); ok {
-			// Declare fails if the tenant already has as many queues as allowed. The subscription is then not restored, and
-			// Reserve fails below for each of its receipts.
-			_, _, _, _ = mailboxes.Declare(s.now(), tenant, mailbox.QueueSpec{Name: r.Receipt}, false)
-		}
-	}
-	for _, promised := range pending {
-		tenant, ok := rules.Tenant(promised.Tenant)
-		if !ok {
-			continue
-		}
-		reservation, err := mailboxes.Reserve(tenant, promised.Queue, "", "")
-		if err != nil {
-			s.log.Warn("audit", "the receipt of %s is not put back: %v", promised.Accepted.Message, err)
-			continue
-		}
-		if promised.Answered == nil {
-			promised.Answered = &audit.Record{Kind: audit.Answered, Message: promised.Accepted.Message, Partner: promised.Accepted.Partner, Tenant: promised.Tenant,
-				Result: engine.Failed.String(), Reason: "the dispatcher ended before a final answer; it may have been sent", Receipt: promised.Queue}
-			// From now on, the recorded answer is the final one.
-			s.auditLog.Enqueue(promised.Answered)
-		}
-		reservation.Fill(s.now(), newReceipt(promised.Answered))
-		restored++
-	}
-	if restored > 0 {
-		s.log.Info("audit", "%d receipts of before are put back", restored)
-	}
-	return nil
-}
-
-// newReceipt converts the record of a final answer into a receipt.
-func newReceipt(answer *audit.Record) *receipt.Receipt {
-	return &receipt.Receipt{Message: answer.Message, Answer: answer.Result, At: answer.Time(), Detail: answer.Detail, Reason: answer.Reason, Attempts: answer.Attempts,
-		PartnerStatus: answer.Status, RetryAfterMillis: answer.WaitMicros / 1000}
-}
--- a/internal/service/receipt_test.go
+++ b/internal/service/receipt_test.go
@@ -254,8 +254,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, all, err := audit.UnfetchedReceipts(store, time.Time{}); err == nil {
-			owed = len(all)
+		if receipts, err := audit.ReadReceipts(store, time.Time{}); err == nil {
+			owed = len(receipts.Unfetched)
 		}
 	}
 	dispatcher.Kill()
--- a/internal/service/restart_test.go
+++ b/internal/service/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -9,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"whinrun/internal/receipt"
 )
 
 // restart ends a dispatcher, in order or as a crash does, and starts another one with the same settings.
@@ -83,3 +86,134 @@
 
 // sortedNames returns the keys of a map in order.
 func sortedNames(given map[string]string) []string { return slices.Sorted(maps.Keys(given)) }
+
+// numberedReceipt is a receipt as a subscription lists it.
+type numberedReceipt struct {
+	No      uint64
+	Receipt receipt.Receipt
+}
+
+// listReceipts returns the receipts of a subscription, and the status of the response.
+func listReceipts(t *testing.T, dispatcher *Service, subscription string) (status int, all []numberedReceipt) {
+	t.Helper()
+	res, body := doRequest(t, dispatcher, "GET", subscription, "")
+	if len(body) > 0 && res.StatusCode == 200 {
+		if err := json.Unmarshal(body, &all); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return res.StatusCode, all
+}
+
+// awaitReceipts waits until a subscription has this number of receipts.
+func awaitReceipts(t *testing.T, dispatcher *Service, subscription string, n int) []numberedReceipt {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if _, all := listReceipts(t, dispatcher, subscription); len(all) == n {
+			return all
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s does not get %d receipts", subscription, n)
+		}
+	}
+}
+
+// postForReceipts posts messages whose receipts go to a subscription, and returns their names.
+func postForReceipts(t *testing.T, dispatcher *Service, subscription string, n int) (names []string) {
+	t.Helper()
+	for range n {
+		res, _ := doRequest(t, dispatcher, "POST", "/p/upload", "x", "TTL", "4", "Prefer", "respond-async", "Push-Receipt", subscription)
+		if res.StatusCode != 202 {
+			t.Fatalf("status %d", res.StatusCode)
+		}
+		names = append(names, res.Header.Get("Whinrun-Message"))
+	}
+	return names
+}
+
+// onRecord waits until all that a dispatcher has done is in its trail on disk.
+func onRecord(t *testing.T, dispatcher *Service) {
+	t.Helper()
+	if err := dispatcher.auditLog.Flush(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A subscription that is older than the time for which answers are kept was not restored, and its fresh receipts were lost with it (review
+// case 8).
+func TestOldSubscriptionKeepsItsFreshReceipts(t *testing.T) {
+	addr, _ := startHTTP2Partner(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(201) })
+	settings := "[audit]\nfolder = " + t.TempDir() + "\n[answers]\nkeep = 1s\n"
+	dispatcher := startService(t, addr, settings)
+	defer func() { dispatcher.Kill() }()
+	res, _ := doRequest(t, dispatcher, "POST", "/receipts/t", "")
+	subscription := res.Header.Get("Location")
+	time.Sleep(1100 * time.Millisecond)
+	for range 2 {
+		dispatcher = restart(t, dispatcher, false, addr, settings)
+		if status, _ := listReceipts(t, dispatcher, subscription); status != 204 {
+			t.Errorf("status %d of an empty subscription", status)
+		}
+		names := postForReceipts(t, dispatcher, subscription, 2)
+		awaitReceipts(t, dispatcher, subscription, 2)
+		onRecord(t, dispatcher)
+		dispatcher = restart(t, dispatcher, true, addr, settings)
+		_, all := listReceipts(t, dispatcher, subscription)
+		if len(all) != 2 || all[0].Receipt.Message != names[0] || all[1].Receipt.Message != names[1] {
+			t.Errorf("receipts %+v, want those of %v", all, names)
+		}
+		for _, r := range all {
+			doRequest(t, dispatcher, "DELETE", subscription+"/"+formatNumber(r.No), "")
+		}
+	}
+}
+
+// Subscriptions that had been removed were restored as well, the oldest first, so that one in use found no place any more and its receipts
+// were lost.
+func TestRemovedSubscriptionsTakeNoPlace(t *testing.T) {
+	addr, _ := startHTTP2Partner(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(201) })
+	settings := amqpSettings + "[audit]\nfolder = " + t.TempDir() + "\n[answers]\nqueues = 3\n"
+	dispatcher := startService(t, addr, settings)
+	defer func() { dispatcher.Kill() }()
+	var removed []string
+	for i := range 6 {
+		res, _ := doRequest(t, dispatcher, "POST", "/receipts/t", "")
+		path := res.Header.Get("Location")
+		removed = append(removed, path)
+		if i%2 == 0 { // A program deletes its queue.
+			postForReceipts(t, dispatcher, path, 1)
+			awaitReceipts(t, dispatcher, path, 1)
+			_, channel := dialAMQP(t, dispatcher)
+			if _, err := channel.QueueDelete(strings.TrimPrefix(path, "/receipts/t/"), false, false, false); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		dispatcher.mailboxes.Lock()
+		dispatcher.mailboxes.Expire(dispatcher.now() + 24*time.Hour)
+		dispatcher.mailboxes.Unlock()
+	}
+	var inUse []string
+	for range 3 {
+		res, _ := doRequest(t, dispatcher, "POST", "/receipts/t", "")
+		inUse = append(inUse, res.Header.Get("Location"))
+		postForReceipts(t, dispatcher, res.Header.Get("Location"), 2)
+	}
+	for _, path := range inUse {
+		awaitReceipts(t, dispatcher, path, 2)
+	}
+	onRecord(t, dispatcher)
+	for range 2 {
+		dispatcher = restart(t, dispatcher, true, addr, settings)
+		for _, path := range inUse {
+			if status, all := listReceipts(t, dispatcher, path); status != 200 || len(all) != 2 {
+				t.Errorf("status %d, %d receipts of a subscription in use", status, len(all))
+			}
+		}
+		for _, path := range removed {
+			if status, _ := listReceipts(t, dispatcher, path); status != 404 {
+				t.Errorf("status %d of a subscription that was removed", status)
+			}
+		}
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -49,6 +49,8 @@
 	trail    *auditTrail
 	// mailboxes holds the queues of answers.
 	mailboxes *mailbox.SharedBroker
+	// earlierReceipts is what the trail tells of receipts of earlier processes. It is nil if no trail is kept, and after the start.
+	earlierReceipts *audit.Receipts
 
 	background *backgroundTasks
 }
@@ -132,6 +134,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.earlierReceipts, err = s.readReceipts(); err != nil {
+		s.closeTrail(true)
+		return nil, err
+	}
 	s.auditLog.Enqueue(&audit.Record{Kind: audit.DispatcherStarted, Detail: "epoch " + ids.Epoch})
 	s.trail = &auditTrail{s.auditLog, s.cfg, s.endpoints, ids}
 	return s.trail, nil
@@ -164,9 +170,8 @@
 	mailboxes := &mailbox.SharedBroker{Broker: mailbox.New(cfg.Mailbox, mailbox.Identity{Epoch: ids.Epoch})}
 	if s.auditLog != nil {
 		mailboxes.Key, mailboxes.OnChange = s.auditLog.Key(), s.trail.receiptChanged
-		if err := s.restoreReceipts(mailboxes, rules); err != nil {
-			return err
-		}
+		s.restoreReceipts(mailboxes, rules, s.earlierReceipts)
+		s.earlierReceipts = nil
 	}
 	s.mailboxes = mailboxes
 	s.startBackground(mailboxes)
