--- a/internal/audit/receipts.go
+++ b/internal/audit/receipts.go
@@ -39,12 +39,30 @@
 	Subscriptions []Subscription
 	// Unfetched are the receipts that were not fetched, in the order in which their messages were accepted.
 	Unfetched []*UnfetchedReceipt
+	// HighestNumber is the highest number that a receipt has, or 0 if none has a number. Numbers that an earlier process gave
+	// without a record of it are below the next multiple of numbersPerProcess.
+	HighestNumber uint64
+	// Continued tells that a dispatcher has written the trail before.
+	Continued bool
+}
+
+// numbersPerProcess is the size of the range of numbers that each process takes. Numbers stay below 2^53, up to which every JSON reader
+// is exact, for two million processes.
+const numbersPerProcess = 1 << 32
+
+// NextRange returns the number before the first one that no process has given, whether it is on record or not.
+func (r *Receipts) NextRange() uint64 {
+	if !r.Continued {
+		return 0
+	}
+	return (r.HighestNumber/numbersPerProcess + 1) * numbersPerProcess
 }
 
 // ReadReceipts reads what a trail tells of receipts. Of the receipts it returns those whose last record is not before since.
 func ReadReceipts(store *logstore.Store, since time.Time) (Receipts, error) {
 	c := receiptCollector{since: since, subscriptions: map[subscriptionKey]*Subscription{}, removed: map[subscriptionKey]bool{}, byMessage: map[string]*UnfetchedReceipt{}}
 	err := errors.Join(
+		findByLabel(store, label('k', DispatcherStarted.String()), c.addStart),
 		findByLabel(store, label('k', Subscribed.String()), c.addSubscription),
 		findByLabel(store, label('k', "receipt"), c.addReceipt))
 	return c.result(), err
@@ -65,6 +83,12 @@
 	accepted []*UnfetchedReceipt
 }
 
+// addStart adds the start of a dispatcher.
+func (c *receiptCollector) addStart(r *Record) {
+	c.receipts.Continued = true
+	c.receipts.HighestNumber = max(c.receipts.HighestNumber, r.Number)
+}
+
 // addSubscription adds a record about a subscription.
 func (c *receiptCollector) addSubscription(r *Record) {
 	key := subscriptionKey{r.Tenant, r.Receipt}
@@ -79,6 +103,7 @@
 
 // addReceipt adds a record about a receipt. Records of a message come in order.
 func (c *receiptCollector) addReceipt(r *Record) {
+	c.receipts.HighestNumber = max(c.receipts.HighestNumber, r.Number)
 	if s := c.subscriptions[subscriptionKey{r.Tenant, r.Receipt}]; s != nil && r.Time().After(s.LastUsed) {
 		s.LastUsed = r.Time()
 	}
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -20,8 +20,8 @@
 
 // Kinds of records. Brackets list the fields that a kind uses in addition to Kind and At. Kinds are stored as numbers.
 const (
-	DispatcherStarted Kind = iota + 1 // a dispatcher started [Detail: its epoch]
-	Accepted                          // a message was accepted [Message Partner Tenant Class LifetimeMicros Size Receipt]
+	DispatcherStarted Kind = iota + 1 // a dispatcher started [Detail: its epoch; Number: its receipts have higher numbers]
+	Accepted                          // a message was accepted [Message Partner Tenant Class LifetimeMicros Size Receipt Number]
 	AttemptStarted                    // an attempt was sent [Message Partner Attempt Endpoint]
 	AttemptEnded                      // an attempt ended [Message Partner Attempt Endpoint Result PossiblyExecuted Status WaitMicros TookMicros Detail AfterAnswer]
 	Answered                          // a message got its final answer [Message Partner Tenant Result Status WaitMicros Attempts Detail Reason Receipt]
@@ -68,8 +68,9 @@
 	Size             int       `cbor:"19,keyasint,omitempty" json:"size,omitempty"`         // size of the body in bytes
 	Count            uint64    `cbor:"20,keyasint,omitempty" json:"count,omitempty"`        // number of missing records
 	Seal             *SealData `cbor:"21,keyasint,omitempty" json:"seal,omitempty"`
-	Receipt          string    `cbor:"23,keyasint,omitempty" json:"receipt,omitempty"` // subscription that gets the final answer
-	Link             []byte    `cbor:"-" json:"-"`                                     // first linkSize bytes of the chain's hash after this record, stored before the CBOR
+	Receipt          string    `cbor:"23,keyasint,omitempty" json:"receipt,omitempty"`    // subscription that gets the final answer
+	Number           uint64    `cbor:"24,keyasint,omitempty" json:"receipt-no,omitempty"` // number of the receipt in that subscription
+	Link             []byte    `cbor:"-" json:"-"`                                        // first linkSize bytes of the chain's hash after this record, stored before the CBOR
 }
 
 // SealData is the content of a seal: the chain's hash over all records before the seal, the id of the key and the signature.
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -97,6 +97,9 @@
 	// in the Trail.
 	ReceiptSubscription string
 
+	// ReceiptNumber is the number that the final answer gets in that subscription.
+	ReceiptNumber uint64
+
 	// Recovered holds what earlier processes did for the message.
 	Recovered Recovered
 
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -72,10 +72,14 @@
 	exchange, key string
 }
 
-// Identity tells the names that one process generates from those of all others. Clients hold names for longer than a process lives.
+// Identity tells the names and numbers that one process gives from those of all others. Clients hold them for longer than a process
+// lives.
 type Identity struct {
 	// Epoch is a part of each generated name. No two processes have the same.
 	Epoch string
+	// LastNumber is the number before the first one that this process gives to an answer. No process gives a number that another one
+	// has given.
+	LastNumber uint64
 }
 
 // Broker holds all queues and bindings.
@@ -129,7 +133,7 @@
 
 // New returns a Broker without queues.
 func New(l Limits, id Identity) *Broker {
-	return &Broker{limits: l, identity: id, queues: map[queueKey]*queue{}, queuesByTenant: map[int]int{}, bindings: map[bindingKey]*queue{}}
+	return &Broker{limits: l, identity: id, lastNumber: id.LastNumber, queues: map[queueKey]*queue{}, queuesByTenant: map[int]int{}, bindings: map[bindingKey]*queue{}}
 }
 
 // queue holds answers in the order in which their messages were accepted.
@@ -319,6 +323,9 @@
 	number uint64
 }
 
+// Number returns the number that the answer will have in its queue.
+func (r *Reservation) Number() uint64 { return r.number }
+
 // Reserve reserves a place in the queue that replyTo names or, if replyTo is empty, in the queue that is bound to the
 // exchange and key. If there is no binding either it returns nil without an error. Errors are ErrNotFound and
 // ErrQueueFull.
@@ -360,6 +367,8 @@
 
 // RestoredAnswer is an answer of an earlier process.
 type RestoredAnswer struct {
+	// Number is the number that the earlier process gave it, or 0 for one without a number, which gets a new one.
+	Number uint64
 	// Age is the time since the answer became known.
 	Age     time.Duration
 	Payload any
@@ -372,8 +381,11 @@
 	if q == nil {
 		q = b.addQueue(now, tenant, QueueSpec{Name: name, Subscription: true})
 	}
-	b.lastNumber++
-	q.insert(queuedAnswer{number: b.lastNumber, queuedAt: now - a.Age, payload: a.Payload})
+	if a.Number == 0 {
+		b.lastNumber++
+		a.Number = b.lastNumber
+	}
+	q.insert(queuedAnswer{number: a.Number, queuedAt: now - a.Age, payload: a.Payload})
 }
 
 // dispatch delivers the ready answers of a queue to its consumers round robin, while any has capacity.
--- a/internal/pushfront/receipts.go
+++ b/internal/pushfront/receipts.go
@@ -65,7 +65,8 @@
 	case err != nil:
 		return &push.Problem{Status: 503, Title: "not taken: " + err.Error(), RetryAfter: time.Second}
 	}
-	r.reservation, r.subscriptionURI, r.msg.ReceiptSubscription = reservation, uri, name
+	r.reservation, r.subscriptionURI = reservation, uri
+	r.msg.ReceiptSubscription, r.msg.ReceiptNumber = name, reservation.Number()
 	return nil
 }
 
--- a/internal/service/audit_trail.go
+++ b/internal/service/audit_trail.go
@@ -42,7 +42,7 @@
 func (t *auditTrail) Accepted(m *engine.Message) {
 	r := t.newRecord(audit.Accepted, m)
 	r.Tenant, r.Class, r.LifetimeMicros, r.Size = t.cfg.Intake.Tenants[m.Tenant], t.cfg.Classes[m.Class], int64(m.Lifetime), len(m.Body)
-	r.Receipt = m.ReceiptSubscription
+	r.Receipt, r.Number = m.ReceiptSubscription, m.ReceiptNumber
 	t.log.Enqueue(r)
 }
 
--- a/internal/service/receipts.go
+++ b/internal/service/receipts.go
@@ -1,8 +1,10 @@
 package service
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"time"
 
 	"whinrun/internal/audit"
 	"whinrun/internal/clock"
@@ -12,6 +14,26 @@
 	"whinrun/internal/receipt"
 )
 
+// startRecordTimeout is how long a start waits until its record is on disk. While the disk fails no message is accepted, so that no
+// receipt gets a number.
+const startRecordTimeout = 2 * time.Second
+
+// randomNumberBits is the number of random bits of the first number where no trail tells which numbers were given. JSON readers are exact
+// up to 53 bits.
+const randomNumberBits = 52
+
+// chooseIdentity returns what tells the names and numbers of this process from those of earlier ones. With a trail, numbers continue
+// those on record; without one they begin at random.
+func chooseIdentity(epoch string, random []byte, earlier *audit.Receipts) mailbox.Identity {
+	id := mailbox.Identity{Epoch: epoch}
+	if earlier != nil {
+		id.LastNumber = earlier.NextRange()
+	} else {
+		id.LastNumber = binary.LittleEndian.Uint64(random) >> (64 - randomNumberBits)
+	}
+	return id
+}
+
 // readReceipts reads the receipts of earlier processes from the trail, as far back as answers are kept.
 func (s *Service) readReceipts() (*audit.Receipts, error) {
 	receipts, err := s.auditLog.Receipts(clock.Wall().Add(-s.cfg.Mailbox.Keep))
@@ -21,7 +43,7 @@
 	return &receipts, nil
 }
 
-// restoreReceipts restores the subscriptions and the receipts of earlier processes. A message without a
+// restoreReceipts restores the subscriptions and the receipts of earlier processes, under their names and numbers. A message without a
 // final answer gets the answer failed, because it may have been sent.
 func (s *Service) restoreReceipts(mailboxes *mailbox.SharedBroker, rules *intake.Registry, earlier *audit.Receipts) {
 	restored := 0
@@ -37,7 +59,7 @@
 			s.auditLog.Enqueue(promised.Answered)
 		}
 		age := max(0, clock.Wall().Sub(promised.Answered.Time()))
-		mailboxes.Restore(s.now(), tenant, promised.Queue, mailbox.RestoredAnswer{Age: age, Payload: newReceipt(promised.Answered)})
+		mailboxes.Restore(s.now(), tenant, promised.Queue, mailbox.RestoredAnswer{Number: promised.Accepted.Number, Age: age, Payload: newReceipt(promised.Answered)})
 		restored++
 	}
 	s.restoreSubscriptions(mailboxes, rules, earlier.Subscriptions)
--- a/internal/service/restart_test.go
+++ b/internal/service/restart_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	amqp "github.com/rabbitmq/amqp091-go"
+
 	"whinrun/internal/receipt"
 )
 
@@ -139,6 +141,90 @@
 	}
 }
 
+// Receipts got new numbers at a restart, so that a reader who deleted by the old ones removed receipts that nobody had read (review case
+// 9). A receipt keeps its number, and a number that is not on record is not given again, also behind a second restart.
+func TestReceiptNumbersOutliveTheProcess(t *testing.T) {
+	addr, _ := startHTTP2Partner(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(201) })
+	forEachRestart(t, func(t *testing.T, settings string, audit, crash bool) {
+		if !audit {
+			t.Skip("without a trail no subscription outlives its process")
+		}
+		dispatcher := startService(t, addr, settings)
+		defer func() { dispatcher.Kill() }()
+		res, _ := doRequest(t, dispatcher, "POST", "/receipts/t", "")
+		subscription := res.Header.Get("Location")
+		numbers := map[string]uint64{}
+		given := map[uint64]string{}
+		taken := 0
+		for process := range 3 {
+			names := postForReceipts(t, dispatcher, subscription, 6)
+			all := awaitReceipts(t, dispatcher, subscription, len(numbers)-taken+len(names))
+			for _, r := range all {
+				no, known := numbers[r.Receipt.Message]
+				if known && no != r.No {
+					t.Errorf("process %d: the receipt of %s has number %d, and had %d", process, r.Receipt.Message, r.No, no)
+				}
+				if other := given[r.No]; other != "" && other != r.Receipt.Message {
+					t.Errorf("process %d: number %d is that of %s, and was that of %s", process, r.No, r.Receipt.Message, other)
+				}
+				numbers[r.Receipt.Message], given[r.No] = r.No, r.Receipt.Message
+			}
+			// Two are deleted in this process, the others by the numbers that it gave in the next one.
+			for _, r := range all[:2] {
+				doRequest(t, dispatcher, "DELETE", subscription+"/"+formatNumber(r.No), "")
+				taken++
+			}
+			onRecord(t, dispatcher)
+			// What follows may be lost in a crash, but its numbers are known to the reader.
+			lost := postForReceipts(t, dispatcher, subscription, 3)
+			for _, r := range awaitReceipts(t, dispatcher, subscription, len(numbers)-taken+len(lost)) {
+				given[r.No] = r.Receipt.Message
+			}
+			dispatcher = restart(t, dispatcher, crash, addr, settings)
+			_, restored := listReceipts(t, dispatcher, subscription)
+			for _, r := range restored {
+				if given[r.No] != r.Receipt.Message {
+					t.Errorf("process %d: number %d is that of %s, and was that of %q", process+1, r.No, r.Receipt.Message, given[r.No])
+				}
+				numbers[r.Receipt.Message] = r.No
+			}
+			taken = len(numbers) - len(restored)
+		}
+	})
+}
+
+// Without a trail a queue of AMQP ends with the process, and a program declares it anew. A reader who deletes by the numbers of before must
+// not remove the new answers.
+func TestNumbersOfAQueueDeclaredAnew(t *testing.T) {
+	addr, _ := startHTTP2Partner(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(201) })
+	forEachRestart(t, func(t *testing.T, settings string, _, crash bool) {
+		dispatcher := startService(t, addr, settings)
+		defer func() { dispatcher.Kill() }()
+		var held []numberedReceipt
+		for process := range 3 {
+			_, channel := dialAMQP(t, dispatcher)
+			if _, err := channel.QueueDeclare("answers", false, false, false, false, nil); err != nil {
+				t.Fatal(err)
+			}
+			for range 5 {
+				if err := channel.PublishWithContext(testContext(t), "uploads", "p", true, false, amqp.Publishing{ReplyTo: "answers", Body: []byte("x")}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			all := awaitReceipts(t, dispatcher, "/receipts/t/answers", 5)
+			for _, r := range held {
+				if res, _ := doRequest(t, dispatcher, "DELETE", "/receipts/t/answers/"+formatNumber(r.No), ""); res.StatusCode != 404 {
+					t.Errorf("process %d: number %d of an earlier process is deleted with status %d", process, r.No, res.StatusCode)
+				}
+			}
+			if len(awaitReceipts(t, dispatcher, "/receipts/t/answers", 5)) == 5 {
+				held = append(held, all...)
+			}
+			dispatcher = restart(t, dispatcher, crash, addr, settings)
+		}
+	})
+}
+
 // A subscription that is older than the time for which answers are kept was not restored, and its fresh receipts were lost with it (review
 // case 8).
 func TestOldSubscriptionKeepsItsFreshReceipts(t *testing.T) {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -49,6 +49,8 @@
 	trail    *auditTrail
 	// mailboxes holds the queues of answers.
 	mailboxes *mailbox.SharedBroker
+	// identity tells this process's names and numbers of answers from those of earlier ones.
+	identity mailbox.Identity
 	// earlierReceipts is what the trail tells of receipts of earlier processes. It is nil if no trail is kept, and after the start.
 	earlierReceipts *audit.Receipts
 
@@ -59,11 +61,11 @@
 // the settings.
 func Start(cfg *config.Config, log *logs.Logger, source ListSource) (*Service, error) {
 	s := &Service{cfg: cfg, log: log, clock: clock.New(), endpoints: endpointlist.New(cfg.Partners)}
-	var seed [16]byte
+	var seed [24]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, fmt.Errorf("random seed: %w", err)
 	}
-	ids := push.ExternalIDs{Epoch: strconv.FormatUint(binary.LittleEndian.Uint64(seed[8:])>>16, 36)}
+	ids := push.ExternalIDs{Epoch: strconv.FormatUint(binary.LittleEndian.Uint64(seed[8:16])>>16, 36)}
 	var err error
 	protocol := &partnerProtocol{endpoints: s.endpoints, resources: cfg.PartnerResources, dialects: cfg.Dialects, ids: ids, wall: clock.Wall}
 	guard := safety.NewGuard(cfg.Control)
@@ -83,6 +85,7 @@
 	s.poller = &listPoller{source: source, endpoints: s.endpoints, log: log, stopping: make(chan struct{})}
 	s.admission = admission.New(cfg.Admission, len(cfg.Intake.Tenants), engineAdapter{s})
 	policy := engine.Options{Settings: cfg.Control, PathPerMessage: pathPerMessage, Guard: guard}
+	s.identity = chooseIdentity(ids.Epoch, seed[16:], nil)
 	if cfg.Audit.Folder != "" {
 		if policy.Trail, err = s.openTrail(ids); err != nil {
 			s.pool.Close()
@@ -138,7 +141,12 @@
 		s.closeTrail(true)
 		return nil, err
 	}
-	s.auditLog.Enqueue(&audit.Record{Kind: audit.DispatcherStarted, Detail: "epoch " + ids.Epoch})
+	s.identity = chooseIdentity(ids.Epoch, nil, s.earlierReceipts)
+	s.auditLog.Enqueue(&audit.Record{Kind: audit.DispatcherStarted, Detail: "epoch " + ids.Epoch, Number: s.identity.LastNumber})
+	// The numbers of receipts rest on this record.
+	if err := s.auditLog.Flush(startRecordTimeout); err != nil {
+		s.log.Warn("audit", "the start is not on record yet: %v", err)
+	}
 	s.trail = &auditTrail{s.auditLog, s.cfg, s.endpoints, ids}
 	return s.trail, nil
 }
@@ -167,7 +175,7 @@
 		}
 		return err
 	}
-	mailboxes := &mailbox.SharedBroker{Broker: mailbox.New(cfg.Mailbox, mailbox.Identity{Epoch: ids.Epoch})}
+	mailboxes := &mailbox.SharedBroker{Broker: mailbox.New(cfg.Mailbox, s.identity)}
 	if s.auditLog != nil {
 		mailboxes.Key, mailboxes.OnChange = s.auditLog.Key(), s.trail.receiptChanged
 		s.restoreReceipts(mailboxes, rules, s.earlierReceipts)
