--- a/internal/amqp/conn.go
+++ b/internal/amqp/conn.go
@@ -539,7 +539,7 @@
 		return
 	}
 	c.out = AppendMethod(c.out, id, m)
-	c.out = appendContent(c.out, id, p, body, c.frameMax)
+	c.out = AppendContent(c.out, id, p, body, c.frameMax)
 	c.lastSent = c.now
 }
 
--- a/internal/amqp/frame.go
+++ b/internal/amqp/frame.go
@@ -236,8 +236,8 @@
 	return class, size, p, nil
 }
 
-// appendContent appends a content header frame and the body in frames of at most frameMax bytes.
-func appendContent(out []byte, channel uint16, p *Properties, body []byte, frameMax int) []byte {
+// AppendContent appends a content header frame and the body in frames of at most frameMax bytes.
+func AppendContent(out []byte, channel uint16, p *Properties, body []byte, frameMax int) []byte {
 	at := len(out)
 	out = appendFrameHeader(out, frameHeader, channel, 0)
 	class, weight, size, flags := uint16(classBasic), uint16(0), uint64(len(body)), p.flags()
