eventloop: a client that sends small requests at full speed keeps nobody waiting

What callers saw: while one client of a node pipelined GET /ready, or empty messages, at full speed, the others' answers took a third of a second and more on one core, 0.18 s on eight.

Cause: a connection with more to read had up to 16 reads of 64 KiB before the others' turn: a megabyte, or 29,000 requests.

Change: a turn ends a millisecond after it began, behind the read that is being handled at the latest, and reads are of 16 KiB. A connection with more to read has its next turn behind the others at once; before, it waited 2 ms.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -30,6 +30,8 @@
 	closeErr error
 	// retryScheduled is true while the connection is in the loop's retries.
 	retryScheduled bool
+	// unfinished is true while the connection is in the loop's list of that name.
+	unfinished bool
 	// readable is true from an event that there is something to read until a read has returned shortRead bytes, or was tried again.
 	readable bool
 	// readPaused is true while nothing is read.
@@ -222,13 +224,21 @@
 			c.notifyReady()
 		}
 	}
+	if c.unfinished {
+		return // Its next turn is behind the others.
+	}
+	turnEnd := c.loop.group.clock.Now() + maxTurn
 	for range maxReads {
 		if c.fd < 0 || c.closeRequested || c.readPaused || !c.readOnce() {
 			return
 		}
+		if c.loop.group.clock.Now() >= turnEnd {
+			break
+		}
 	}
 	// There may be more to read. Other connections have their turn first.
-	c.scheduleRetry()
+	c.unfinished = true
+	c.loop.unfinished = append(c.loop.unfinished, c)
 }
 
 // shortRead is the number of bytes below which a read may have been cut short. No message of a protocol here is so short.
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -150,9 +150,10 @@
 	lastTick  control.Time
 	lastSweep control.Time
 
-	// retries lists connections to be processed again a moment later, because a call failed with a transient error
-	// or there was more to read than one turn allows.
+	// retries lists connections to be processed again a moment later, because a call failed with a transient error.
 	retries []*Conn
+	// unfinished lists connections with more to read than one turn allows. They are processed again behind the others.
+	unfinished []*Conn
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -163,12 +164,15 @@
 }
 
 const (
-	// readBufferSize is the size of a loop's read buffer in bytes.
-	readBufferSize = 64 << 10
+	// readBufferSize is the size of a loop's read buffer in bytes. It also bounds the work of one read: requests may be small.
+	readBufferSize = 16 << 10
 	// maxEvents is the largest number of events that one wait returns.
 	maxEvents = 256
 	// maxReads is how often one connection is read from before the others have their turn.
-	maxReads = 16
+	maxReads = 64
+	// maxTurn is the time after which the others have their turn, even if that is after the first read. A client that sends small
+	// requests at full speed must not keep others waiting.
+	maxTurn = control.Millisecond
 )
 
 const (
@@ -232,6 +236,7 @@
 		}
 		l.wait()
 		l.runPosted()
+		l.runUnfinished()
 		l.runRetries()
 		l.runTimers()
 	}
@@ -272,7 +277,7 @@
 		wait = min(wait, l.millisecondsTo(d.deadline))
 	}
 	switch {
-	case posted > 0:
+	case posted > 0 || len(l.unfinished) > 0:
 		return 0
 	case len(l.retries) > 0:
 		return min(wait, retryWait)
@@ -353,6 +358,16 @@
 	}
 }
 
+// runUnfinished gives each connection another turn that had more to read than its last one allowed.
+func (l *Loop) runUnfinished() {
+	unfinished := l.unfinished
+	l.unfinished = nil
+	for _, c := range unfinished {
+		c.unfinished = false
+		c.processIO()
+	}
+}
+
 // runRetries processes the connections again that are listed in retries.
 func (l *Loop) runRetries() {
 	retries := l.retries
