h2: a quiet connection keeps neither the fields of its last requests nor large buffers

What callers saw: hundreds of clients that sent heads of very many short fields and then nothing made serve grow to 927 MB (900 connections with 40 streams, 350 fields each), and it was killed at its limit.

Cause: the events of the last Receive were dropped by the next one only, and with them up to 30 header sections of a connection, half a megabyte. The buffer for an incomplete frame kept the size of the largest read, and the output buffer that of the last burst.

Change: ReleaseEvents drops the events once they are handled. A connection keeps what has come of a frame and nothing else; an empty output frees its buffer.

--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -275,7 +275,7 @@
 func (c *Conn) Output() []byte {
 	p := c.writeBuf
 	c.writeBuf = c.writeBuf[:0]
-	if cap(p) > 1<<16 { // release the buffer after a burst
+	if len(p) == 0 || cap(p) > 1<<16 { // A quiet connection keeps no buffer, nor one from a burst.
 		c.writeBuf = nil
 	}
 	return p
@@ -313,7 +313,7 @@
 	return c.err
 }
 
-// Receive processes bytes from the peer. The events are valid until the next call of Receive. An error is a ConnError. The
+// Receive processes bytes from the peer. The events are valid until the next call of Receive or ReleaseEvents. An error is a ConnError. The
 // caller then has to send the output and close the connection.
 func (c *Conn) Receive(now time.Duration, p []byte) ([]Event, error) {
 	c.now = now
@@ -328,17 +328,37 @@
 		buf = c.readBuf
 	}
 	n, err := c.processFrames(buf)
-	if err == nil && n < len(buf) {
-		c.readBuf = append(c.readBuf[:0], buf[n:]...)
-	} else {
-		c.readBuf = c.readBuf[:0]
-		if cap(c.readBuf) > 4*defaultFrameSize {
-			c.readBuf = nil
-		}
-	}
+	c.keepIncomplete(buf[n:], err)
 	return c.events, err
 }
 
+// keepIncomplete keeps the bytes of a frame that is not complete. Between frames a connection keeps no buffer, and within one no more
+// than it needs: there may be very many connections.
+func (c *Conn) keepIncomplete(rest []byte, err error) {
+	switch {
+	case err != nil || len(rest) == 0:
+		c.readBuf = nil
+	case len(rest) == len(c.readBuf): // Nothing was used of the buffer, which grows with the frame.
+	default:
+		c.readBuf = bytes.Clone(rest)
+	}
+}
+
+// ReleaseEvents drops the events that Receive returned last. A connection may be quiet for long behind them.
+func (c *Conn) ReleaseEvents() {
+	clear(c.events)
+	if c.events = c.events[:0]; cap(c.events) > maxKeptEvents {
+		c.events = nil
+	}
+	c.fields = nil
+}
+
+// maxKeptHeaderBlock is the largest buffer for header blocks that a connection keeps for the next block, in bytes.
+const maxKeptHeaderBlock = 2 << 10
+
+// maxKeptEvents is the largest capacity of the list of events that a connection keeps for the next call of Receive.
+const maxKeptEvents = 16
+
 // processFrames checks the preface, handles all complete frames in p, and returns the number of bytes used.
 func (c *Conn) processFrames(p []byte) (int, error) {
 	offset := 0
@@ -562,6 +582,7 @@
 		return &ConnError{StreamClosed, f.Stream, "HEADERS on a closed stream"}
 	}
 	c.headerBlock = append(c.headerBlock[:0], p...)
+	f.Payload = nil // It is part of an input buffer.
 	c.blockFrame, c.blockFrameCount, c.blockStart = f, 1, c.now
 	if f.Flags&FlagEndHeaders == 0 {
 		c.inBlock = true
@@ -607,7 +628,7 @@
 	if err := c.decoder.Close(); err != nil {
 		return &ConnError{CompressionError, f.Stream, err.Error()}
 	}
-	if cap(c.headerBlock) > 2*defaultFrameSize {
+	if cap(c.headerBlock) > maxKeptHeaderBlock {
 		c.headerBlock = nil
 	}
 	end := f.Flags&FlagEndStream != 0
--- a/internal/outbound/http2.go
+++ b/internal/outbound/http2.go
@@ -50,6 +50,7 @@
 	for i := range events {
 		s.handleEvent(&events[i])
 	}
+	s.h2conn.ReleaseEvents()
 	return err
 }
 
--- a/internal/pushfront/pushfront.go
+++ b/internal/pushfront/pushfront.go
@@ -69,6 +69,7 @@
 	for i := range events {
 		s.handleEvent(&events[i], now)
 	}
+	s.h2conn.ReleaseEvents()
 	return err
 }
 
