amqp: a body frame needs no buffer, and a frame that stands still ends its connection

What callers saw: hundreds of clients that stopped in the middle of a frame cost up to frame-max (128 KiB) each, beside hold-bytes: 215 to 255 MB at 900 connections. A frame in small pieces was copied whole for each piece.

Cause: a frame was handled when it was complete, and what had come was kept in a new buffer after each read. Nothing but a heartbeat ended a connection that stopped within a frame.

Change: the payload of a body frame is passed on as it comes, behind the same checks as before; the message is complete behind the end octet. The buffer for other frames grows with them. A connection on which a frame stands still for `stall` is closed with 506.

--- a/internal/amqp/conn.go
+++ b/internal/amqp/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"strings"
@@ -46,7 +47,7 @@
 	ChannelClosed
 	// ChannelMethod reports any other method on an open channel. [Channel Method]
 	ChannelMethod
-	// ContentHeader reports a publish with its properties. Its body follows. [Channel Publish Properties Size Complete]
+	// ContentHeader reports a publish with its properties. Its body follows. [Channel Publish Properties Size HeadSize Complete]
 	ContentHeader
 	// ContentBody reports a part of the body. Data is valid until the handler returns. [Channel Data Complete]
 	ContentBody
@@ -62,7 +63,9 @@
 	Properties     *Properties
 	// Size is the length of the whole body in bytes.
 	Size uint64
-	Data []byte
+	// HeadSize is the length of the properties in bytes, as the client sent them.
+	HeadSize int
+	Data     []byte
 	// Complete is set when no more of the body follows.
 	Complete bool
 }
@@ -104,12 +107,15 @@
 // Conn is the server side of one connection. It is not safe for concurrent use. All times passed to it are readings of
 // one monotonic clock.
 type Conn struct {
-	cfg      Config
-	now      time.Duration
-	start    time.Duration
-	phase    phase
-	in       []byte
-	out      []byte
+	cfg   Config
+	now   time.Duration
+	start time.Duration
+	phase phase
+	// in holds a frame that is not complete, but for the payload of a body frame, which is passed on as it comes.
+	in  []byte
+	out []byte
+	// body is the body frame whose payload has come in part.
+	body     partialFrame
 	handle   func(*Event)
 	channels map[uint16]*channel
 	// incomplete is the number of channels whose publish is set.
@@ -140,6 +146,15 @@
 		abuseLimiter: rate.NewLimiter(rate.Limit(cfg.AbuseRate), int(cfg.AbuseBurst)+2*int(cfg.ChannelMax))}
 }
 
+// partialFrame is a body frame whose header has been handled.
+type partialFrame struct {
+	// open is true until the end octet has come.
+	open    bool
+	channel uint16
+	// left is the number of bytes of the payload that have not come.
+	left int
+}
+
 // Receive processes bytes from the client. It returns an error only if the connection has ended at once. Errors that
 // the client is told of with a close are not returned.
 func (c *Conn) Receive(now time.Duration, b []byte) error {
@@ -147,15 +162,29 @@
 	if c.ignoreInput {
 		return nil
 	}
+	input := b
 	if len(c.in) > 0 {
-		b = append(c.in, b...)
+		c.in = append(c.in, b...)
+		input = c.in
+	}
+	rest, err := c.receiveAll(input)
+	if c.phase == closed || c.ignoreInput {
+		rest = nil
 	}
-	var err error
+	c.keepIncomplete(rest)
+	return err
+}
+
+// receiveAll processes what is complete of the input and returns the rest.
+func (c *Conn) receiveAll(b []byte) (rest []byte, err error) {
 	for err == nil && c.phase != closed {
 		var n int
-		if c.phase == awaitHeader {
+		switch {
+		case c.phase == awaitHeader:
 			n, err = c.receiveProtocolHeader(b)
-		} else {
+		case c.body.open:
+			n, err = c.receiveBodyPart(b)
+		default:
 			n, err = c.receiveFrame(b)
 		}
 		if n == 0 {
@@ -163,13 +192,24 @@
 		}
 		b = b[n:]
 	}
-	if c.phase == closed || c.ignoreInput {
-		b = nil
+	return b, err
+}
+
+// keepIncomplete keeps the bytes of a frame that is not complete. Between frames a connection keeps no buffer: there may be very many
+// connections.
+func (c *Conn) keepIncomplete(rest []byte) {
+	switch {
+	case len(rest) == 0:
+		c.in = nil
+	case len(rest) == len(c.in): // Nothing was used of the buffer, which grows with the frame.
+	default:
+		c.in = bytes.Clone(rest)
 	}
-	c.in = append(c.in[:0:0], b...)
-	return err
 }
 
+// Buffered returns the size of the buffer for a frame that is not complete, in bytes.
+func (c *Conn) Buffered() int { return cap(c.in) }
+
 // receiveProtocolHeader processes the protocol header (section 4.2.2) and returns the number of bytes used. A header of
 // another version is answered with ProtocolHeader, and the connection ends.
 func (c *Conn) receiveProtocolHeader(b []byte) (int, error) {
@@ -202,11 +242,46 @@
 		return 0, nil
 	}
 	if n == 0 {
-		return 0, nil
+		return c.beginBodyFrame(b)
 	}
 	return n, c.handleFrame(f)
 }
 
+// beginBodyFrame handles the header of a body frame that is not complete, so that its payload needs no buffer. It returns the number of
+// bytes used, which is 0 for other frames. The frame is checked as a whole one is.
+func (c *Conn) beginBodyFrame(b []byte) (int, error) {
+	if len(b) < frameHeaderSize || b[0] != frameBody || c.phase != running && c.phase != awaitCloseOK {
+		return 0, nil
+	}
+	f := frame{kind: frameBody, channel: binary.BigEndian.Uint16(b[1:])}
+	size := int(binary.BigEndian.Uint32(b[3:]))
+	c.body = partialFrame{open: true, channel: f.channel, left: size}
+	if c.phase == awaitCloseOK {
+		return frameHeaderSize, nil
+	}
+	return frameHeaderSize, c.reportError(c.startBodyFrame(f.channel, size))
+}
+
+// receiveBodyPart handles a part of the payload of a body frame, or its end octet.
+func (c *Conn) receiveBodyPart(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	if c.body.left == 0 {
+		c.body.open = false
+		if b[0] != frameEnd {
+			c.ignoreInput = true
+			return 0, c.reportError(newError(FrameError, c.body.channel, "frame of type %d without its end octet", frameBody))
+		}
+		c.handleBodyPart(c.body.channel, nil, true)
+		return 1, nil
+	}
+	part := b[:min(len(b), c.body.left)]
+	c.body.left -= len(part)
+	c.handleBodyPart(c.body.channel, part, false)
+	return len(part), nil
+}
+
 // handleFrame processes one frame by its type. An error ends the connection.
 func (c *Conn) handleFrame(f frame) error {
 	switch f.kind {
@@ -454,40 +529,71 @@
 
 // handleContentFrame processes a content header frame or body frame (section 4.2.6).
 func (c *Conn) handleContentFrame(f frame) *Error {
-	ch := c.channels[f.channel]
-	if ch != nil && ch.closing {
+	if f.kind == frameBody {
+		if e := c.startBodyFrame(f.channel, len(f.payload)); e != nil {
+			return e
+		}
+		c.handleBodyPart(f.channel, f.payload, true)
 		return nil
 	}
+	ch, e := c.incompleteChannel(f.channel, f.kind)
+	if e != nil || ch == nil {
+		return e
+	}
+	return c.handleContentHeader(f, ch)
+}
+
+// incompleteChannel returns the channel of a content frame, which must be in its order. The channel is nil if it is being closed and the
+// frame is to be discarded.
+func (c *Conn) incompleteChannel(id uint16, kind byte) (*channel, *Error) {
+	ch := c.channels[id]
+	if ch != nil && ch.closing {
+		return nil, nil
+	}
 	if ch == nil {
-		return newError(ChannelError, f.channel, "content on a channel that is not open")
+		return nil, newError(ChannelError, id, "content on a channel that is not open")
 	}
-	if ch.publish == nil || ch.headerReceived != (f.kind == frameBody) {
-		return newError(UnexpectedFrame, f.channel, "content frame of type %d out of its order", f.kind)
+	if ch.publish == nil || ch.headerReceived != (kind == frameBody) {
+		return nil, newError(UnexpectedFrame, id, "content frame of type %d out of its order", kind)
 	}
 	ch.lastProgress = c.now
-	if f.kind == frameHeader {
-		return c.handleContentHeader(f, ch)
+	return ch, nil
+}
+
+// startBodyFrame checks a body frame of a size before its payload is handled.
+func (c *Conn) startBodyFrame(id uint16, length int) *Error {
+	ch, e := c.incompleteChannel(id, frameBody)
+	if e != nil || ch == nil {
+		return e
 	}
-	size := uint64(len(f.payload))
+	size := uint64(length)
 	if size > ch.bodyRemaining {
-		return newError(FrameError, f.channel, "body longer than its header says")
+		return newError(FrameError, id, "body longer than its header says")
 	}
 	if size < 64 && size < ch.bodyRemaining {
 		// A body in very small frames costs more than its bytes. Each such frame but the last is charged.
-		if e := c.chargeFrame(f.channel, ch.publish); e != nil {
-			return e
-		}
+		return c.chargeFrame(id, ch.publish)
+	}
+	return nil
+}
+
+// handleBodyPart handles a part of the payload of a body frame. frameEnds tells that the frame is complete with it. A part for a channel
+// that has been closed meanwhile is discarded.
+func (c *Conn) handleBodyPart(id uint16, part []byte, frameEnds bool) {
+	ch := c.channels[id]
+	if ch == nil || ch.closing || ch.publish == nil || !ch.headerReceived {
+		return
 	}
-	ch.bodyRemaining -= size
-	event := Event{Kind: ContentBody, Channel: f.channel, Data: f.payload, Complete: ch.bodyRemaining == 0}
-	discard := ch.discardBody
+	ch.lastProgress = c.now
+	ch.bodyRemaining -= uint64(len(part))
+	event := Event{Kind: ContentBody, Channel: id, Data: part, Complete: frameEnds && ch.bodyRemaining == 0}
+	discard := ch.discardBody || len(part) == 0 && !event.Complete
 	if event.Complete {
 		c.finishContent(ch)
 	}
 	if !discard {
 		c.handle(&event)
 	}
-	return nil
 }
 
 // handleContentHeader processes a content header frame of ch.
@@ -500,7 +606,7 @@
 		return newError(UnexpectedFrame, f.channel, "content header of class %d", class)
 	}
 	ch.headerReceived, ch.bodyRemaining, ch.discardBody = true, size, false
-	event := Event{Kind: ContentHeader, Channel: f.channel, Publish: ch.publish, Properties: &properties, Size: size, Complete: size == 0}
+	event := Event{Kind: ContentHeader, Channel: f.channel, Publish: ch.publish, Properties: &properties, Size: size, HeadSize: len(f.payload), Complete: size == 0}
 	if event.Complete {
 		c.finishContent(ch)
 	}
@@ -578,6 +684,13 @@
 	c.closeDeadline = c.now + min(c.cfg.Handshake, 2*time.Second)
 }
 
+// Abort closes the connection with an error and reads nothing more. It frees the buffer for input at once, while the peer may not have heard
+// of the close.
+func (c *Conn) Abort(e *Error) {
+	c.CloseWithError(e)
+	c.ignoreInput, c.in = true, nil
+}
+
 // Close closes a running connection with reply code 320 and the text, and waits for close-ok until closeDeadline.
 // Before connection.open it ends the connection at once.
 func (c *Conn) Close(now time.Duration, text string) {
@@ -667,6 +780,10 @@
 			c.lastSent = now
 		}
 	}
+	if c.midFrame() && c.phase == running && now-c.lastReceived > c.cfg.BodyStallTimeout {
+		c.CloseWithError(newError(ResourceError, 0, "a frame has stood still for %v", c.cfg.BodyStallTimeout))
+		return nil
+	}
 	if c.incomplete > 0 {
 		for id, ch := range c.channels {
 			if ch.publish != nil && now-ch.lastProgress > c.cfg.BodyStallTimeout {
@@ -692,6 +809,9 @@
 	if c.heartbeat > 0 {
 		due = min(c.lastSent+c.heartbeat/2, c.lastReceived+2*c.heartbeat+time.Millisecond)
 	}
+	if c.midFrame() && c.phase == running {
+		due = min(due, c.lastReceived+c.cfg.BodyStallTimeout+time.Millisecond)
+	}
 	if c.incomplete > 0 {
 		// The time of the last progress is kept per channel, so a stalled message is found by polling.
 		due = min(due, now+c.cfg.BodyStallTimeout/4)
@@ -699,6 +819,9 @@
 	return due
 }
 
+// midFrame reports whether a frame has begun and is not complete.
+func (c *Conn) midFrame() bool { return len(c.in) > 0 || c.body.open }
+
 // Output returns the bytes to be written to the client and clears them.
 func (c *Conn) Output() []byte {
 	out := c.out
--- a/internal/amqp/frame.go
+++ b/internal/amqp/frame.go
@@ -14,6 +14,8 @@
 	// frameEnd is the last octet of each frame.
 	frameEnd = 0xCE
 
+	// frameHeaderSize is the number of bytes of type, channel and size.
+	frameHeaderSize = 7
 	// frameOverhead is the number of bytes of type, channel, size and end octet.
 	frameOverhead = 8
 	// minFrameMax is the smallest frame-max that the specification allows, in bytes. It applies until tune-ok.
@@ -66,7 +68,7 @@
 
 // nextFrame decodes the first frame of b and returns its size in bytes. The size is 0 if the frame is incomplete.
 func nextFrame(b []byte, frameMax int) (f frame, size int, err *Error) {
-	if len(b) < 7 {
+	if len(b) < frameHeaderSize {
 		return f, 0, nil
 	}
 	f.kind, f.channel = b[0], binary.BigEndian.Uint16(b[1:])
