hold-bytes counts what is allocated, for messages that have not come whole and for large frames, too

What callers saw: the memory of serve grew with the number of clients that stopped half way, beside hold-bytes: 250 streams on each of a thousand connections, properties of AMQP messages of up to 128 KiB, and half frames of as much were held beside every limit.

Change: a body reserves what its buffer allocates (AppendBody; it doubles, up to the announced size, but never for a mere announcement). A message reserves 1 KiB until it has come whole, and for good the strings of its head, or the AMQP properties. An AMQP frame above 16 KiB reserves its buffer until it is complete; without room its connection is closed with 506.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -213,15 +213,15 @@
 	return Reservation{frontend: f, tenant: tenant}
 }
 
-// Reserve reserves n more bytes for the body. It returns ErrBytesFull or ErrTenantFull if a limit does not allow that.
+// Reserve reserves n more bytes. It returns ErrBytesFull or ErrTenantFull if a limit does not allow that. A negative n gives bytes back.
 func (r *Reservation) Reserve(n int) error {
 	c := r.frontend.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch more := int64(n); {
-	case c.bytes+more > c.limits.Bytes:
+	case more > 0 && c.bytes+more > c.limits.Bytes:
 		return ErrBytesFull
-	case c.limits.TenantBytes > 0 && c.tenants[r.tenant]+more > c.limits.TenantBytes:
+	case more > 0 && c.limits.TenantBytes > 0 && c.tenants[r.tenant]+more > c.limits.TenantBytes:
 		return ErrTenantFull
 	default:
 		c.bytes += more
@@ -232,6 +232,36 @@
 	}
 }
 
+// minBodyBuffer is the smallest buffer for a body that comes in parts, in bytes.
+const minBodyBuffer = 4 << 10
+
+// AppendBody appends a part to a body and reserves what that allocates. size is the size of the whole body, or -1 if it is not known.
+// The buffer doubles, up to size: a client that announces a large body and sends little of it gets no large buffer. Errors are
+// those of Reserve.
+func (r *Reservation) AppendBody(body, part []byte, size int) ([]byte, error) {
+	length := len(body) + len(part)
+	if length <= cap(body) {
+		return append(body, part...), nil
+	}
+	capacity := length
+	if length != size {
+		capacity = max(length, 2*cap(body), minBodyBuffer)
+	}
+	if size >= length {
+		capacity = min(capacity, size)
+	}
+	if err := r.Reserve(capacity - cap(body)); err != nil {
+		return body, err
+	}
+	grown := make([]byte, len(body), capacity)
+	copy(grown, body)
+	return append(grown, part...), nil
+}
+
+// IncompleteOverhead is reserved for a message that has begun and is not complete, in bytes, for what is kept of its head. Complete
+// messages are limited by their number.
+const IncompleteOverhead = 1 << 10
+
 // Submit hands the complete message to the engine. It fails with the reason given to Suspend or with the engine's error.
 // The message is then not accepted, and the caller still has to end the reservation.
 func (r *Reservation) Submit(m *engine.Message) error {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -119,3 +119,43 @@
 		}
 	})
 }
+
+// A body reserves what it allocates, however it comes and whatever was announced, and no more than twice what has come.
+func TestAppendBodyReservesWhatItAllocates(t *testing.T) {
+	for name, c := range map[string]struct{ size, part, parts int }{
+		"announced, in parts":        {240_000, 16_000, 15},
+		"announced, little of it":    {240_000, 100, 1},
+		"not announced":              {-1, 3000, 40},
+		"whole":                      {700, 700, 1},
+		"announced, last part small": {64_001, 16_000, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			controller := New(Limits{Bytes: 1 << 20}, 1, nil)
+			r := controller.AddFrontend("f").NewReservation(0)
+			var body []byte
+			var err error
+			for range c.parts {
+				if body, err = r.AppendBody(body, make([]byte, c.part), c.size); err != nil {
+					t.Fatal(err)
+				}
+				reserved := int(controller.Usage().Bytes)
+				// The allocator may round up a size by an eighth.
+				if reserved < cap(body)*8/9 || reserved > max(2*len(body), minBodyBuffer) {
+					t.Errorf("%d bytes reserved for %d of %d", reserved, len(body), cap(body))
+				}
+			}
+			if len(body) != c.part*c.parts {
+				t.Errorf("%d bytes", len(body))
+			}
+		})
+	}
+	controller := New(Limits{Bytes: 8_000}, 1, nil)
+	r := controller.AddFrontend("f").NewReservation(0)
+	body, err := r.AppendBody(nil, make([]byte, 5000), -1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := r.AppendBody(body, make([]byte, 5000), -1); !errors.Is(err, ErrBytesFull) || len(again) != 5000 || controller.Usage().Bytes != 5000 {
+		t.Errorf("%d bytes, %v, in use %+v", len(again), err, controller.Usage())
+	}
+}
--- a/internal/amqpfront/amqpfront.go
+++ b/internal/amqpfront/amqpfront.go
@@ -39,7 +39,7 @@
 
 // Open returns the session of a new connection.
 func (server *Server) Open(c *front.Conn, now time.Duration) front.Session {
-	s := &session{server: server, conn: c, owner: server.lastOwner.Add(1), channels: map[uint16]*channel{}}
+	s := &session{server: server, conn: c, owner: server.lastOwner.Add(1), channels: map[uint16]*channel{}, input: server.admission.NewReservation(0)}
 	s.protocol = amqp.NewConn(server.cfg, now, s.handleEvent)
 	return s
 }
@@ -58,6 +58,9 @@
 	unflushed []*channel
 	// unanswered is the number of accepted publishes without a final answer.
 	unanswered int
+	// input accounts for a large frame that is not complete, of which inputBytes are reserved.
+	input      admission.Reservation
+	inputBytes int
 	hasPublished,
 	// blockSent is set while the client is asked to publish nothing.
 	blockSent,
@@ -83,7 +86,27 @@
 // Receive processes bytes from the client. An error ends the connection.
 func (s *session) Receive(now time.Duration, b []byte) error {
 	s.now = now
-	return s.protocol.Receive(now, b)
+	err := s.protocol.Receive(now, b)
+	s.reserveInput()
+	return err
+}
+
+// uncountedInput is the part of a frame that is not complete for which nothing is reserved, in bytes.
+const uncountedInput = 16 << 10
+
+// reserveInput reserves what a large frame needs until it is complete. Where the limits do not allow that, it closes the connection.
+// Payloads of body frames are not buffered, and their bytes are reserved with their message.
+func (s *session) reserveInput() {
+	n := max(0, s.protocol.Buffered()-uncountedInput)
+	if n == s.inputBytes {
+		return
+	}
+	if err := s.input.Reserve(n - s.inputBytes); err != nil {
+		s.protocol.Abort(&amqp.Error{Code: amqp.ResourceError, Text: "a large frame is not taken: " + err.Error()})
+		n = 0
+		_ = s.input.Reserve(-s.inputBytes) // Giving back does not fail.
+	}
+	s.inputBytes = n
 }
 
 // Check blocks or unblocks the client if it publishes, and enforces the time limits of the protocol. An error ends the
@@ -154,6 +177,7 @@
 // their answers go to the reserved answer queues. Unacknowledged deliveries are requeued.
 func (s *session) ConnClosed() {
 	s.now = s.server.now()
+	s.input.Withdraw()
 	for _, ch := range s.channels {
 		s.removeChannel(ch)
 	}
@@ -228,6 +252,7 @@
 		return
 	}
 	s.tenant, s.user = tenant, e.User
+	s.input = s.server.admission.NewReservation(tenant) // Frames before the login are too small to count.
 	s.protocol.AcceptLogin()
 }
 
--- a/internal/amqpfront/publish.go
+++ b/internal/amqpfront/publish.go
@@ -45,6 +45,8 @@
 	props           *amqp.Properties
 	message         *engine.Message
 	loadReservation admission.Reservation
+	// bodySize is the size of the body in bytes.
+	bodySize int
 	// reservation is the answer's place in its queue. It is nil if there is no queue, or once it is released.
 	reservation *mailbox.Reservation
 	answer      engine.Answer
@@ -57,8 +59,10 @@
 	if ch.confirms != nil {
 		p.tag = ch.confirms.Publish()
 	}
-	if err := s.prepare(p, e.Size); err != nil {
-		s.server.admission.Rejected.Add(1)
+	if err := s.prepare(p, e.Size, e.HeadSize); err != nil {
+		if p.message == nil {
+			s.server.admission.Rejected.Add(1)
+		}
 		s.protocol.DiscardBody(ch.id)
 		s.reject(p, err)
 		return
@@ -70,8 +74,9 @@
 }
 
 // prepare finds the resource for a publish, applies its properties and reserves a place for its answer. The error is an
-// *amqp.Error, which closes the channel or the connection, or a *refusal.
-func (s *session) prepare(p *publish, size uint64) error {
+// *amqp.Error, which closes the channel or the connection, or a *refusal. size is the size of the body in bytes, and headSize that of the
+// properties.
+func (s *session) prepare(p *publish, size uint64, headSize int) error {
 	if p.method.Immediate {
 		return &amqp.Error{Code: amqp.NotImplemented, Text: "the immediate flag is not supported"}
 	}
@@ -87,15 +92,23 @@
 	if err := s.applyProperties(m, r, p.props); err != nil {
 		return &amqp.Error{Code: amqp.PreconditionFailed, Text: err.Error()}
 	}
+	p.message, p.loadReservation = m, s.server.admission.NewReservation(m.Tenant)
+	p.bodySize = int(size)
+	if err := p.loadReservation.Reserve(admission.IncompleteOverhead + headSize); err != nil {
+		p.loadReservation.Reject()
+		return &refusal{amqp.NoConsumers, "not taken: " + err.Error()}
+	}
 	s.server.answers.Lock()
 	p.reservation, err = s.server.answers.Reserve(s.tenant, p.props.ReplyTo, p.method.Exchange, p.method.Key)
 	s.server.answers.Unlock()
+	if err != nil {
+		p.loadReservation.Reject()
+	}
 	if errors.Is(err, mailbox.ErrNotFound) {
 		return &refusal{amqp.NoRoute, fmt.Sprintf("reply-to %q names no queue of answers", intake.Printable(p.props.ReplyTo))}
 	} else if err != nil {
 		return &refusal{amqp.NoConsumers, err.Error()}
 	}
-	p.message, p.loadReservation = m, s.server.admission.NewReservation(m.Tenant)
 	return nil
 }
 
@@ -184,12 +197,12 @@
 	if p == nil {
 		return
 	}
-	err := p.loadReservation.Reserve(len(data))
-	if err == nil {
-		p.message.Body = append(p.message.Body, data...)
+	var err error
+	if p.message.Body, err = p.loadReservation.AppendBody(p.message.Body, data, p.bodySize); err == nil {
 		if !complete {
 			return
 		}
+		_ = p.loadReservation.Reserve(-admission.IncompleteOverhead) // Giving back does not fail.
 		ch.incoming = nil
 		s.unanswered++
 		if err = p.loadReservation.Submit(p.message); err == nil {
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -110,6 +110,11 @@
 	OriginTag uint64
 }
 
+// HeadSize returns how many bytes the message keeps of what its sender gave beside the body.
+func (m *Message) HeadSize() int {
+	return len(m.ExternalID) + len(m.IdempotencyKey) + len(m.Topic) + len(m.TargetPath) + len(m.ContentType) + len(m.ContentEncoding)
+}
+
 // Recovered is what earlier processes did for a message.
 type Recovered struct {
 	// Restored is set if an earlier process accepted the message.
--- a/internal/pushfront/pushfront.go
+++ b/internal/pushfront/pushfront.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"whinrun/internal/admission"
@@ -52,8 +53,10 @@
 	stream          uint32
 	msg             *engine.Message
 	loadReservation admission.Reservation
-	complete        bool
-	answer          engine.Answer
+	// bodySize is the size of the body in bytes, or -1 if the client does not tell it.
+	bodySize int
+	complete bool
+	answer   engine.Answer
 
 	// reservation is the reserved place for the receipt. It is nil if the client waits for the answer on the stream.
 	reservation *mailbox.Reservation
@@ -166,8 +169,12 @@
 		s.reply(e.Stream, problem, now)
 		return
 	}
-	r := &request{session: s, stream: e.Stream, msg: msg, loadReservation: s.admitter.NewReservation(msg.Tenant)}
+	r := &request{session: s, stream: e.Stream, msg: msg, loadReservation: s.admitter.NewReservation(msg.Tenant), bodySize: bodySize(e.Fields)}
 	msg.Origin = r
+	if err := r.loadReservation.Reserve(admission.IncompleteOverhead + msg.HeadSize()); err != nil {
+		s.reject(r, rejectionProblem(err), now)
+		return
+	}
 	if subscriptionURI != "" {
 		r.resourcePath = h2.Value(e.Fields, ":path")
 		if p := s.reserveReceipt(r, subscriptionURI); p != nil {
@@ -184,6 +191,15 @@
 	}
 }
 
+// bodySize returns the value of content-length, or -1. The connection has checked it.
+func bodySize(fields []h2.Field) int {
+	size, err := strconv.Atoi(h2.Value(fields, "content-length"))
+	if err != nil {
+		return -1
+	}
+	return size
+}
+
 // handleData appends a part of the body to the message and rejects a body that exceeds a limit.
 func (s *session) handleData(r *request, e *h2.Event, now time.Duration) {
 	if r.complete {
@@ -193,11 +209,15 @@
 		s.reject(r, s.parser.BodyTooLarge(), now)
 		return
 	}
-	if err := r.loadReservation.Reserve(len(e.Data)); err != nil {
+	size := r.bodySize
+	if e.End {
+		size = len(r.msg.Body) + len(e.Data)
+	}
+	var err error
+	if r.msg.Body, err = r.loadReservation.AppendBody(r.msg.Body, e.Data, size); err != nil {
 		s.reject(r, rejectionProblem(err), now)
 		return
 	}
-	r.msg.Body = append(r.msg.Body, e.Data...)
 	if e.End {
 		s.submit(r, now)
 	}
@@ -209,6 +229,7 @@
 		return
 	}
 	r.complete = true
+	_ = r.loadReservation.Reserve(-admission.IncompleteOverhead) // Giving back does not fail.
 	if err := r.loadReservation.Submit(r.msg); err != nil {
 		s.reject(r, rejectionProblem(err), now)
 	} else if r.reservation != nil {
