serve: the setting memory bounds garbage, and the program is tested with clients that misbehave

What callers saw: a process passed its memory limit and was killed although it held little: with `garbage` at 400 the resident set was up to five times what was held, and there was no way to say where to stop.

--- a/cmd/whinlab/abuse.go
+++ b/cmd/whinlab/abuse.go
@@ -15,7 +15,7 @@
 	Connections int           `default:"1" help:"Clients that misbehave, with a connection each."`
 	For         time.Duration `default:"8s" help:"Length of each measurement."`
 	OneCore     bool          `help:"Bind the dispatcher to one core."`
-	Memory      int           `default:"32" help:"memory_mb of a node."`
+	Memory      int           `help:"memory_mb of a node (default 32), or memory of serve (default none), in MiB."`
 	HoldBytes   int           `default:"16" help:"hold-bytes of serve, in MiB."`
 	Binary      string        `default:"bin/whinrun" type:"existingfile" help:"The program."`
 }
--- a/cmd/whinrun/main.go
+++ b/cmd/whinrun/main.go
@@ -94,6 +94,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(cfg.GCPercent)
 	}
+	if cfg.MemoryLimit > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(cfg.MemoryLimit)
+	}
 	// Signals are registered before the start, so that a signal that arrives during the start is not lost.
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
--- a/internal/abuse/behaviours.go
+++ b/internal/abuse/behaviours.go
@@ -57,6 +57,17 @@
 // Behaviours returns the names of the behaviours at a front.
 func Behaviours(front Front) []string { return slices.Sorted(maps.Keys(behaviours[front])) }
 
+// manyConnections is the usual number of clients that stop half way.
+const manyConnections = 300
+
+// UsualConnections returns the number of clients with which a behaviour is worth playing: one that floods, or hundreds that stop half way.
+func UsualConnections(behaviour string) int {
+	if slices.Contains([]string{"half bodies", "half frames", "slow bodies", "many fields"}, behaviour) {
+		return manyConnections
+	}
+	return 1
+}
+
 // readyRequest is the smallest request that a node answers.
 const readyRequest = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
--- a/internal/abuse/program.go
+++ b/internal/abuse/program.go
@@ -46,7 +46,7 @@
 	Front  Front
 	// OneCore binds the process to one core.
 	OneCore bool
-	// MemoryMB is the limit of a node, in MiB.
+	// MemoryMB is the limit of a node, or the setting memory of `serve`, in MiB. With 0 there is none.
 	MemoryMB int
 	// HoldBytesMB is the setting hold-bytes of `serve`, in MiB.
 	HoldBytesMB int
@@ -99,6 +99,9 @@
 	return p, nil
 }
 
+// defaultNodeMemoryMB is the limit of a node for which none is given, in MiB.
+const defaultNodeMemoryMB = 32
+
 // prepareNode sets the command of a node with two partners.
 func (p *Program) prepareNode(cfg ProgramConfig) error {
 	bed := testbed.New()
@@ -118,8 +121,12 @@
 	if p.Addr, err = testbed.FreeAddr(); err != nil {
 		return err
 	}
+	memory := cfg.MemoryMB
+	if memory == 0 {
+		memory = defaultNodeMemoryMB
+	}
 	text := testbed.Configuration(p.Addr, agent)
-	text = bytes.ReplaceAll(text, []byte(`"memory_mb":64,"sockets":256,"disk_mb":1`), fmt.Appendf(nil, `"memory_mb":%d,"sockets":1024,"disk_mb":3`, cfg.MemoryMB))
+	text = bytes.ReplaceAll(text, []byte(`"memory_mb":64,"sockets":256,"disk_mb":1`), fmt.Appendf(nil, `"memory_mb":%d,"sockets":1024,"disk_mb":3`, memory))
 	file := filepath.Join(cfg.Folder, "config.json")
 	p.cmd = exec.Command(cfg.Binary, "node")
 	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file, "EDGE_STATE="+filepath.Join(cfg.Folder, "state"))
@@ -129,6 +136,7 @@
 // serveSettings are the settings of `serve` with one partner. The tenant needs no token but for AMQP.
 const serveSettings = `[dispatcher]
 listen = %s
+memory = %dMiB
 [amqp]
 listen = %s
 [limits]
@@ -177,7 +185,7 @@
 	}
 	file := filepath.Join(cfg.Folder, "site.ini")
 	p.cmd = exec.Command(cfg.Binary, "serve", "--config="+file)
-	return os.WriteFile(file, fmt.Appendf(nil, serveSettings, push, amqp, cfg.HoldBytesMB, endpoint.Addr()), 0o600)
+	return os.WriteFile(file, fmt.Appendf(nil, serveSettings, push, cfg.MemoryMB, amqp, cfg.HoldBytesMB, endpoint.Addr()), 0o600)
 }
 
 // awaitStart waits until the front answers.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,6 +51,8 @@
 	BackgroundShare float64
 	// GCPercent is the argument of debug.SetGCPercent.
 	GCPercent int
+	// MemoryLimit is the argument of debug.SetMemoryLimit in bytes, or 0 for no limit.
+	MemoryLimit int64
 	// LogLevel is the lowest level that is logged, as a name of zerolog.
 	LogLevel string
 	// LogLinesPerSecond is the highest sustained rate of log lines.
@@ -129,6 +131,7 @@
 	cfg := &Config{}
 	dispatcher, limits, outboundSection := p.singleSection("dispatcher"), p.singleSection("limits"), p.singleSection("outbound")
 	cfg.LogLevel, cfg.LogLinesPerSecond, cfg.StopTimeout = dispatcher.values["log"], dispatcher.numbers["log-lines"], dispatcher.duration("stop-within")
+	cfg.MemoryLimit = int64(dispatcher.numbers["memory"])
 	cfg.GCPercent, cfg.BackgroundShare = dispatcher.integer("garbage"), dispatcher.numbers["background"]
 	cfg.Intake.MaxBody = limits.integer("body")
 	// The flow-control window of a stream is as large as the largest body, but at least 64 KiB and at most 1 MiB.
