eventloop: a client that resets its connection is noticed while nothing is read from it

What callers saw: of the messages that a client of a node had handed in ahead of its answers, one more was sent on behind the reset of its connection.

Cause: while a session is far ahead of its answers nothing is read, and a reset is found by reading. It was noticed at the next write.

Change: an event that tells of the end of both directions closes the connection also while reading is paused. whinlab leave measures what becomes of the messages of clients that leave, on a node and on both fronts of serve.

--- a/cmd/whinlab/abuse.go
+++ b/cmd/whinlab/abuse.go
@@ -44,3 +44,29 @@
 	}
 	return nil
 }
+
+// leaveCmd measures what becomes of the messages of clients that leave.
+type leaveCmd struct {
+	Front    string        `required:"" enum:"node,http2,amqp" help:"The front that they leave: that of a node, or one of serve."`
+	Clients  int           `default:"20" help:"Clients, one after the other."`
+	Messages int           `default:"400" help:"Messages of each, in one write."`
+	After    time.Duration `help:"How long a client stays."`
+	Orderly  bool          `help:"Close connections in order, and don't reset them."`
+	Binary   string        `default:"bin/whinrun" type:"existingfile" help:"The program."`
+}
+
+// Run plays the clients and prints a line.
+func (c *leaveCmd) Run() error {
+	folder, err := os.MkdirTemp("", "whinlab-leave-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	report, err := abuse.Leave(abuse.LeaveOptions{Clients: c.Clients, Messages: c.Messages, After: c.After, Orderly: c.Orderly,
+		Program: abuse.ProgramConfig{Binary: c.Binary, Folder: folder, Front: abuse.Front(c.Front), HoldBytesMB: 16}})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s, after %v, in order %v: %v\n", c.Front, c.After, c.Orderly, report)
+	return nil
+}
--- a/cmd/whinlab/main.go
+++ b/cmd/whinlab/main.go
@@ -36,6 +36,7 @@
 	Day     dayCmd     `cmd:"" help:"Play scripted days through a real dispatcher and check the rules from the sockets."`
 	Soak    soakCmd    `cmd:"" help:"Run real dispatchers under random faults that overlap, and judge what passes by the rules."`
 	Abuse   abuseCmd   `cmd:"" help:"Measure memory and the answers of others while clients misbehave."`
+	Leave   leaveCmd   `cmd:"" help:"Measure what becomes of the messages of clients that leave without reading an answer."`
 	Line    lineCmd    `cmd:"" help:"Print a line of the deploy file."`
 	Site    siteCmd    `cmd:"" help:"Lay out a variant of a given site file."`
 	Gate    gateCmd    `cmd:"" help:"Judge a run of the tests (go test -json on standard input) by the record of those known to fail."`
--- a/internal/abuse/program.go
+++ b/internal/abuse/program.go
@@ -55,12 +55,21 @@
 // Program is the process of a dispatcher, with a stand-in for its partner.
 type Program struct {
 	// Addr is the address of the abused front.
-	Addr    string
+	Addr string
+	// calls returns the calls that the stand-ins have got.
+	calls   func() []call
 	cmd     *exec.Cmd
 	exited  chan error
 	cleanup []func()
 }
 
+// call is one execution of a message at a stand-in.
+type call struct {
+	// id is what the client gave the message.
+	id string
+	at time.Time
+}
+
 // startTimeout is how soon a process has to answer.
 const startTimeout = 10 * time.Second
 
@@ -110,6 +119,14 @@
 		return err
 	}
 	p.cleanup = append(p.cleanup, agent.Close)
+	p.calls = func() (all []call) {
+		for _, e := range bed.Events() {
+			if e.Kind == testbed.CallReceived {
+				all = append(all, call{e.Name, e.At})
+			}
+		}
+		return all
+	}
 	for dest, kind := range []string{"single", "bulk"} {
 		endpoint, err := bed.Endpoint(kind, dest+1, "", func(testbed.Call) testbed.Reply { return testbed.Reply{Status: 200, Delay: 2 * time.Millisecond} })
 		if err != nil {
@@ -164,9 +181,21 @@
 tenant = t
 `
 
+// maxLoggedCalls bounds the events that the stand-in of serve keeps.
+const maxLoggedCalls = 200_000
+
 // prepareServe sets the command of a dispatcher of a small site with one partner.
 func (p *Program) prepareServe(cfg ProgramConfig) error {
-	standIn := partner.New(partner.Config{Name: "p", ServiceTime: 2 * time.Millisecond, Seed: 1}, partner.NewLog(1))
+	log := partner.NewLog(maxLoggedCalls)
+	standIn := partner.New(partner.Config{Name: "p", ServiceTime: 2 * time.Millisecond, Seed: 1}, log)
+	p.calls = func() (all []call) {
+		for _, e := range log.Events() {
+			if e.Kind == partner.Applied {
+				all = append(all, call{e.CorrelationID, log.StartTime().Add(e.At)})
+			}
+		}
+		return all
+	}
 	p.cleanup = append(p.cleanup, standIn.Close)
 	endpoint, err := standIn.Listen("127.0.0.1:0")
 	if err != nil {
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -309,6 +309,11 @@
 		l.accept()
 	case c != nil:
 		c.readable = event.Events&unix.EPOLLIN != 0
+		// A read would find this out, but there is none while reading is paused.
+		if c.readPaused && event.Events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+			c.finish(unix.ECONNRESET)
+			return
+		}
 		c.processIO()
 	default:
 		l.handleDialEvent(fd)
