serve: a list file that replaces another of the same size and time is read

What callers would see: work goes on to the process of another partner at an address that the list gave to that one, for good. Operators asked whether a new process at the address of one that has gone is taken for the old one.

Cause: the list was taken for unchanged if its time of modification and its size were the same. Tools that keep times write such files, and "p ADDRESS ready" and "q ADDRESS ready" have one size.

Change: the file's number and its time of change count, too.

Evidence: TestListOfTheSameSizeAndTime fails on the text before (no endpoints) and passes now. TestAddressTakenByAnotherPartner, on both texts: 80 messages a second, the list told at once or 400 ms late: 1 and 32 calls went to the other partner's process before the list told, none later than the grace behind it, none of the class that must not be repeated ran twice, in 3 of 3 runs.

--- a/internal/service/endpoint_poller.go
+++ b/internal/service/endpoint_poller.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"whinrun/control"
@@ -43,13 +44,17 @@
 	return listFile{cfg.ListFile}
 }
 
-// Load reads the file if its modification time or its size has changed.
+// Load reads the file if it is another one than before, or has been changed. Its time of modification and its size alone do not tell: both
+// may be those of the file that it replaces.
 func (f listFile) Load(known string) ([]endpointlist.Endpoint, string, error) {
 	info, err := os.Stat(f.name)
 	if err != nil {
 		return nil, "", err
 	}
 	version := fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+	if status, ok := info.Sys().(*syscall.Stat_t); ok {
+		version += fmt.Sprint(" ", status.Ino, status.Ctim.Nano())
+	}
 	if version == known {
 		return nil, known, nil
 	}
