--- a/internal/abuse/behaviours.go
+++ b/internal/abuse/behaviours.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"whinrun/internal/amqp"
+	"whinrun/internal/clock"
 	"whinrun/internal/h2"
 	"whinrun/internal/testbed"
 )
@@ -169,13 +170,13 @@
 type http2Conn struct {
 	net.Conn
 	protocol *h2.Conn
-	start    time.Time
+	watch    clock.Stopwatch
 	buffer   []byte
 }
 
 // openHTTP2 exchanges SETTINGS on a connection.
 func openHTTP2(c net.Conn) (*http2Conn, error) {
-	client := &http2Conn{Conn: c, protocol: h2.NewClient(h2.Config{MaxStreams: 1000}, 0), start: time.Now(), buffer: make([]byte, 64<<10)}
+	client := &http2Conn{Conn: c, protocol: h2.NewClient(h2.Config{MaxStreams: 1000}, 0), watch: clock.StartStopwatch(), buffer: make([]byte, 64<<10)}
 	for !client.protocol.SettingsReceived() {
 		if err := client.exchange(); err != nil {
 			return nil, err
@@ -199,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.protocol.Receive(time.Since(c.start), c.buffer[:n])
+	_, err = c.protocol.Receive(c.watch.Elapsed(), c.buffer[:n])
 	return err
 }
 
@@ -222,7 +223,7 @@
 // openEnded opens streams with these fields and the beginning of a body.
 func (c *http2Conn) openEnded(streams int, fields []h2.Field, body []byte) error {
 	for range streams {
-		if _, err := c.protocol.Request(time.Since(c.start), fields, body); err != nil {
+		if _, err := c.protocol.Request(c.watch.Elapsed(), fields, body); err != nil {
 			return err
 		}
 		if err := c.sendOpenEnded(); err != nil {
@@ -233,7 +234,7 @@
 			if err != nil {
 				return err
 			}
-			if _, err := c.protocol.Receive(time.Since(c.start), c.buffer[:n]); err != nil {
+			if _, err := c.protocol.Receive(c.watch.Elapsed(), c.buffer[:n]); err != nil {
 				return err
 			}
 			if err := c.sendOpenEnded(); err != nil {
@@ -276,7 +277,7 @@
 		}
 		for {
 			for client.protocol.AvailableStreams() > 0 {
-				if _, err := client.protocol.Request(time.Since(client.start), fields(names.Add(1)), nil); err != nil {
+				if _, err := client.protocol.Request(client.watch.Elapsed(), fields(names.Add(1)), nil); err != nil {
 					return err
 				}
 			}
--- a/internal/abuse/leave.go
+++ b/internal/abuse/leave.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"whinrun/internal/amqp"
+	"whinrun/internal/clock"
 	"whinrun/internal/testbed"
 )
 
@@ -96,7 +97,7 @@
 	if !o.Orderly {
 		_ = tcp.SetLinger(0)
 	}
-	return time.Now(), tcp.Close()
+	return clock.Wall(), tcp.Close()
 }
 
 // handIn writes messages, as far as the protocol lets them pass without reading an answer.
@@ -109,7 +110,7 @@
 			return err
 		}
 		for _, id := range ids[:min(len(ids), client.protocol.AvailableStreams())] {
-			if _, err := client.protocol.Request(time.Since(client.start), pushFields("/p"), []byte(id)); err != nil {
+			if _, err := client.protocol.Request(client.watch.Elapsed(), pushFields("/p"), []byte(id)); err != nil {
 				return err
 			}
 		}
