--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -76,7 +77,8 @@
 			}
 		}
 	}
-	slices.SortFunc(entries, func(a, b control.Entry) int { return int(int64(a.Endpoint) - int64(b.Endpoint)) })
+	// Entries of one endpoint keep their order: the last one is its state.
+	slices.SortStableFunc(entries, func(a, b control.Entry) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	if now-d.lastCleanup >= cleanupInterval {
 		d.lastCleanup = now
 		d.removeExpired(now)
