Soak: bodies that fill ledgers, and a check that no process hangs behind all faults

Change: `--body` bounds the sizes of bodies (400 by default). Behind all faults, when all messages have ended, each node gets 40 small messages a second for a second: if it accepts ten or more and calls none, it hangs.

--- a/cmd/whinlab/soak.go
+++ b/cmd/whinlab/soak.go
@@ -26,6 +26,7 @@
 	Intensity float64       `default:"1" help:"Factor on the rate of faults: with 4 and kills, a process lives for a second or two."`
 	Slots     int           `help:"Calls that a dispatcher may have in flight. Default: 10."`
 	Latency   time.Duration `help:"Time that bytes take each way between dispatchers and endpoints."`
+	Body      int           `help:"Bodies are smaller than this, in bytes (default 400). Large ones fill ledgers."`
 	Faults    []string      `help:"Kinds of fault. Default: all (${faults})."`
 	Keep      string        `type:"path" help:"Folder for the logs and events of runs that broke a rule."`
 }
@@ -45,7 +46,7 @@
 	}
 	broken := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
-		cfg := soak.Config{Binary: binary, Folder: c.Keep, Seed: seed, Nodes: c.Nodes, Duration: c.For, Rate: c.Rate, Intensity: c.Intensity, FaultKinds: c.Faults, Slots: c.Slots, Latency: c.Latency}
+		cfg := soak.Config{Binary: binary, Folder: c.Keep, Seed: seed, Nodes: c.Nodes, Duration: c.For, Rate: c.Rate, Intensity: c.Intensity, FaultKinds: c.Faults, Slots: c.Slots, Latency: c.Latency, MaxBody: c.Body}
 		res, err := soak.Run(ctx, cfg)
 		if err != nil {
 			return err
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -26,7 +27,7 @@
 func (r *run) newMessage(rng *rand.Rand, n *node) testbed.Message {
 	name := fmt.Sprintf("%s-%d", n.name, r.messageCount.Add(1))
 	class := []string{"status", "status", "sync", "upload", "upload", "turns"}[rng.IntN(6)]
-	m := testbed.Message{Name: name, Class: class, Tenant: "acme", Dest: rng.IntN(destinations), Remaining: messageLifetimes[class], Body: strings.Repeat("b", rng.IntN(400))}
+	m := testbed.Message{Name: name, Class: class, Tenant: "acme", Dest: rng.IntN(destinations), Remaining: messageLifetimes[class], Body: strings.Repeat("b", rng.IntN(r.cfg.maxBody()))}
 	// One message in 20 has a deadline of at most 0.3 s.
 	if rng.IntN(20) == 0 {
 		m.Remaining = time.Duration(1+rng.IntN(300)) * time.Millisecond
@@ -281,3 +282,36 @@
 
 // counter is a counter of the clients and messages of a run.
 type counter = atomic.Int64
+
+// Figures of the check that no process hangs.
+const (
+	// probeMessages is the number of small messages that each node gets behind all faults, at probeInterval.
+	probeMessages = 40
+	probeInterval = 25 * time.Millisecond
+	// fewProbes is the number of accepted messages below which nothing is concluded.
+	fewProbes = 10
+)
+
+// probe hands in small messages to a node behind all faults, when all messages of before have ended. At least one of those that it
+// accepts must be called: what a node has lost it does not get back.
+func (r *run) probe(n *node) {
+	rng := rand.New(rand.NewPCG(r.cfg.Seed, uint64(2000+n.number)))
+	accepted := map[string]bool{}
+	for range probeMessages {
+		m := r.newMessage(rng, n)
+		m.Class, m.IdempotencyKey, m.OrderKey, m.Remaining, m.Body = "status", "", "", messageLifetimes["status"], "probe"
+		sent := r.testbed.Now()
+		status, _ := exchange(n.addr, testbed.EncodeRequest(m), 1)
+		r.recordAnswer(n, m, sent, status)
+		if status == 202 {
+			accepted[m.Name] = true
+		}
+		time.Sleep(probeInterval)
+	}
+	called := func(events []testbed.Event) bool {
+		return slices.ContainsFunc(events, func(e testbed.Event) bool { return e.Kind == testbed.CallReceived && accepted[e.Name] })
+	}
+	if len(accepted) >= fewProbes && !r.testbed.Await(messageLifetimes["status"], called) {
+		r.violation("%s hangs: none of %d messages that it accepted behind all faults was called", n.name, len(accepted))
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,8 +34,16 @@
 	Slots int
 	// Latency is the time that bytes take each way between dispatchers and endpoints.
 	Latency time.Duration
+	// MaxBody is the size below which bodies of messages are, in bytes. Zero stands for defaultMaxBody. Large ones fill ledgers.
+	MaxBody int
 }
 
+// defaultMaxBody is the size below which bodies are without Config.MaxBody, in bytes.
+const defaultMaxBody = 400
+
+// maxBody returns the size below which bodies are.
+func (c *Config) maxBody() int { return cmp.Or(c.MaxBody, defaultMaxBody) }
+
 // Fault is one planned fault.
 type Fault struct {
 	// At is the time since the start of the run's faults.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -305,17 +305,15 @@
 // (4.5 s) and the slack of the rules.
 const settleTimeout = 6 * time.Second
 
-// settle waits until the accepted messages have ended, and then stops all nodes.
+// settle waits until the accepted messages have ended, checks that no node hangs, and then stops all nodes.
 func (r *run) settle() {
-	r.testbed.Await(settleTimeout, func(events []testbed.Event) bool {
-		var names []string
-		for _, e := range events {
-			if e.Kind == testbed.Accepted {
-				names = append(names, e.Name)
-			}
-		}
-		return testbed.AllEnded(events, names)
-	})
+	r.awaitEnds()
+	var probes sync.WaitGroup
+	for _, n := range r.nodes {
+		probes.Go(func() { r.probe(n) })
+	}
+	probes.Wait()
+	r.awaitEnds()
 	var stops sync.WaitGroup
 	for _, n := range r.nodes {
 		stops.Go(func() {
@@ -327,6 +325,19 @@
 	stops.Wait()
 }
 
+// awaitEnds waits until the accepted messages have ended, settleTimeout at most.
+func (r *run) awaitEnds() {
+	r.testbed.Await(settleTimeout, func(events []testbed.Event) bool {
+		var names []string
+		for _, e := range events {
+			if e.Kind == testbed.Accepted {
+				names = append(names, e.Name)
+			}
+		}
+		return testbed.AllEnded(events, names)
+	})
+}
+
 // spareCapacity is the capacity of an endpoint as a multiple of its demand.
 const spareCapacity = 1.5
 
