engine, amqp, h2: three files of 800 to 900 lines are split by what they do

Need: engine/core.go, amqp/conn.go and h2/conn.go had grown to 896, 836 and 896 lines, and held types, protocol and bookkeeping together.

Change: declarations are moved and nothing else: messages, interfaces, sending and timers of the engine; handshake and content of AMQP; header blocks and control frames of HTTP/2. Each file begins with what it contains.

Measured: go vet, and the tests of the three packages pass.

--- a/internal/amqp/conn.go
+++ b/internal/amqp/conn.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -146,15 +144,6 @@
 		abuseLimiter: rate.NewLimiter(rate.Limit(cfg.AbuseRate), int(cfg.AbuseBurst)+2*int(cfg.ChannelMax))}
 }
 
-// partialFrame is a body frame whose header has been handled.
-type partialFrame struct {
-	// open is true until the end octet has come.
-	open    bool
-	channel uint16
-	// left is the number of bytes of the payload that have not come.
-	left int
-}
-
 // Receive processes bytes from the client. It returns an error only if the connection has ended at once. Errors that
 // the client is told of with a close are not returned.
 func (c *Conn) Receive(now time.Duration, b []byte) error {
@@ -210,26 +199,6 @@
 // Buffered returns the size of the buffer for a frame that is not complete, in bytes.
 func (c *Conn) Buffered() int { return cap(c.in) }
 
-// receiveProtocolHeader processes the protocol header (section 4.2.2) and returns the number of bytes used. A header of
-// another version is answered with ProtocolHeader, and the connection ends.
-func (c *Conn) receiveProtocolHeader(b []byte) (int, error) {
-	n := min(len(b), len(ProtocolHeader))
-	if !bytes.Equal(b[:n], []byte(ProtocolHeader)[:n]) {
-		c.out = append(c.out, ProtocolHeader...)
-		c.phase = closed
-		return 0, fmt.Errorf("protocol header %q is not that of AMQP 0-9-1", b[:n])
-	}
-	if n < len(ProtocolHeader) {
-		return 0, nil
-	}
-	c.phase = awaitStartOK
-	c.Send(0, &ConnectionStart{Major: 0, Minor: 9, Mechanisms: "PLAIN", Locales: "en_US", Properties: Table{
-		{"product", c.cfg.Product}, {"version", c.cfg.Version}, {"capabilities", Table{{"publisher_confirms", true},
-			{"basic.nack", true}, {"consumer_cancel_notify", true}, {"connection.blocked", true}, {"authentication_failure_close", true},
-			{"per_consumer_qos", true}}}}})
-	return n, nil
-}
-
 // receiveFrame processes the first frame of b and returns its size, or 0 if the frame is incomplete.
 func (c *Conn) receiveFrame(b []byte) (int, error) {
 	f, n, e := nextFrame(b, c.frameMax)
@@ -247,41 +216,6 @@
 	return n, c.handleFrame(f)
 }
 
-// beginBodyFrame handles the header of a body frame that is not complete, so that its payload needs no buffer. It returns the number of
-// bytes used, which is 0 for other frames. The frame is checked as a whole one is.
-func (c *Conn) beginBodyFrame(b []byte) (int, error) {
-	if len(b) < frameHeaderSize || b[0] != frameBody || c.phase != running && c.phase != awaitCloseOK {
-		return 0, nil
-	}
-	f := frame{kind: frameBody, channel: binary.BigEndian.Uint16(b[1:])}
-	size := int(binary.BigEndian.Uint32(b[3:]))
-	c.body = partialFrame{open: true, channel: f.channel, left: size}
-	if c.phase == awaitCloseOK {
-		return frameHeaderSize, nil
-	}
-	return frameHeaderSize, c.reportError(c.startBodyFrame(f.channel, size))
-}
-
-// receiveBodyPart handles a part of the payload of a body frame, or its end octet.
-func (c *Conn) receiveBodyPart(b []byte) (int, error) {
-	if len(b) == 0 {
-		return 0, nil
-	}
-	if c.body.left == 0 {
-		c.body.open = false
-		if b[0] != frameEnd {
-			c.ignoreInput = true
-			return 0, c.reportError(newError(FrameError, c.body.channel, "frame of type %d without its end octet", frameBody))
-		}
-		c.handleBodyPart(c.body.channel, nil, true)
-		return 1, nil
-	}
-	part := b[:min(len(b), c.body.left)]
-	c.body.left -= len(part)
-	c.handleBodyPart(c.body.channel, part, false)
-	return len(part), nil
-}
-
 // handleFrame processes one frame by its type. An error ends the connection.
 func (c *Conn) handleFrame(f frame) error {
 	switch f.kind {
@@ -369,76 +303,6 @@
 	return c.reportError(newError(CommandInvalid, 0, "method is not to be sent now, or not on channel 0").forMethod(m))
 }
 
-// handleStartOK checks the SASL mechanism and reports the credentials as a Login event.
-func (c *Conn) handleStartOK(m *ConnectionStartOK) error {
-	if m.Mechanism != "PLAIN" {
-		c.phase = closed
-		return fmt.Errorf("SASL mechanism %.40q is not offered", m.Mechanism)
-	}
-	capabilities, _ := m.Properties.Get("capabilities").(Table)
-	c.supportsBlocked, _ = capabilities.Get("connection.blocked").(bool)
-	c.supportsCancelNotify, _ = capabilities.Get("consumer_cancel_notify").(bool)
-	c.supportsAuthClose, _ = capabilities.Get("authentication_failure_close").(bool)
-	// RFC 4616 defines the parts: authorization identity, authentication identity, password.
-	parts := strings.Split(m.Response, "\x00")
-	if len(parts) != 3 || parts[1] == "" || parts[0] != "" && parts[0] != parts[1] {
-		c.phase = awaitLogin
-		return c.RefuseLogin("the PLAIN response is not an identity and a password (RFC 4616)")
-	}
-	c.phase = awaitLogin
-	c.handle(&Event{Kind: Login, User: parts[1], Password: parts[2]})
-	return nil
-}
-
-// AcceptLogin accepts the credentials of a Login event and continues the handshake.
-func (c *Conn) AcceptLogin() {
-	c.phase = awaitTuneOK
-	c.Send(0, &ConnectionTune{c.cfg.ChannelMax, uint32(c.cfg.FrameMax), uint16(c.cfg.Heartbeat / time.Second)})
-}
-
-// RefuseLogin refuses the credentials of a Login event. A client with the authentication_failure_close capability gets
-// a connection.close with the text. For others the connection ends, and the returned error says why.
-func (c *Conn) RefuseLogin(text string) error {
-	if !c.supportsAuthClose {
-		c.phase = closed
-		return fmt.Errorf("login refused: %s", text)
-	}
-	c.CloseWithError(newError(AccessRefused, 0, "%s", text))
-	return nil
-}
-
-// handleTuneOK applies the client's limits (section 1.4.2.6). A client may lower ours but not raise them.
-func (c *Conn) handleTuneOK(m *ConnectionTuneOK) *Error {
-	frameMax, channelMax := int64(m.FrameMax), int64(m.ChannelMax)
-	if channelMax == 0 {
-		// 0 means that the client sets no limit, so ours applies.
-		channelMax = int64(c.cfg.ChannelMax)
-	}
-	if frameMax == 0 {
-		frameMax = int64(c.cfg.FrameMax)
-	}
-	switch {
-	case frameMax > int64(c.cfg.FrameMax) || frameMax < minFrameMax:
-		return newError(NotAllowed, 0, "frame-max %d is not within %d and %d", m.FrameMax, minFrameMax, c.cfg.FrameMax).forMethod(m)
-	case channelMax > int64(c.cfg.ChannelMax):
-		return newError(NotAllowed, 0, "channel-max %d is above %d", m.ChannelMax, c.cfg.ChannelMax).forMethod(m)
-	}
-	c.frameMax, c.channelMax = int(frameMax), int(channelMax)
-	c.heartbeat = time.Duration(m.Heartbeat) * time.Second
-	c.phase = awaitOpen
-	return nil
-}
-
-// handleOpen processes connection.open. There is one virtual host, /, and an empty name stands for it.
-func (c *Conn) handleOpen(m *ConnectionOpen) *Error {
-	if m.VHost != "/" && m.VHost != "" {
-		return newError(NotAllowed, 0, "there is no virtual host %.60q, only /", m.VHost).forMethod(m)
-	}
-	c.phase = running
-	c.Send(0, &ConnectionOpenOK{})
-	return nil
-}
-
 // handleMethod processes a method on a channel other than 0.
 func (c *Conn) handleMethod(id uint16, m Method) *Error {
 	if c.phase != running {
@@ -527,106 +391,6 @@
 	c.handle(&Event{Kind: ChannelClosed, Channel: id})
 }
 
-// handleContentFrame processes a content header frame or body frame (section 4.2.6).
-func (c *Conn) handleContentFrame(f frame) *Error {
-	if f.kind == frameBody {
-		if e := c.startBodyFrame(f.channel, len(f.payload)); e != nil {
-			return e
-		}
-		c.handleBodyPart(f.channel, f.payload, true)
-		return nil
-	}
-	ch, e := c.incompleteChannel(f.channel, f.kind)
-	if e != nil || ch == nil {
-		return e
-	}
-	return c.handleContentHeader(f, ch)
-}
-
-// incompleteChannel returns the channel of a content frame, which must be in its order. The channel is nil if it is being closed and the
-// frame is to be discarded.
-func (c *Conn) incompleteChannel(id uint16, kind byte) (*channel, *Error) {
-	ch := c.channels[id]
-	if ch != nil && ch.closing {
-		return nil, nil
-	}
-	if ch == nil {
-		return nil, newError(ChannelError, id, "content on a channel that is not open")
-	}
-	if ch.publish == nil || ch.headerReceived != (kind == frameBody) {
-		return nil, newError(UnexpectedFrame, id, "content frame of type %d out of its order", kind)
-	}
-	ch.lastProgress = c.now
-	return ch, nil
-}
-
-// startBodyFrame checks a body frame of a size before its payload is handled.
-func (c *Conn) startBodyFrame(id uint16, length int) *Error {
-	ch, e := c.incompleteChannel(id, frameBody)
-	if e != nil || ch == nil {
-		return e
-	}
-	size := uint64(length)
-	if size > ch.bodyRemaining {
-		return newError(FrameError, id, "body longer than its header says")
-	}
-	if size < 64 && size < ch.bodyRemaining {
-		// A body in very small frames costs more than its bytes. Each such frame but the last is charged.
-		return c.chargeFrame(id, ch.publish)
-	}
-	return nil
-}
-
-// handleBodyPart handles a part of the payload of a body frame. frameEnds tells that the frame is complete with it. A part for a channel
-// that has been closed meanwhile is discarded.
-func (c *Conn) handleBodyPart(id uint16, part []byte, frameEnds bool) {
-	ch := c.channels[id]
-	if ch == nil || ch.closing || ch.publish == nil || !ch.headerReceived {
-		return
-	}
-	ch.lastProgress = c.now
-	ch.bodyRemaining -= uint64(len(part))
-	event := Event{Kind: ContentBody, Channel: id, Data: part, Complete: frameEnds && ch.bodyRemaining == 0}
-	discard := ch.discardBody || len(part) == 0 && !event.Complete
-	if event.Complete {
-		c.finishContent(ch)
-	}
-	if !discard {
-		c.handle(&event)
-	}
-}
-
-// handleContentHeader processes a content header frame of ch.
-func (c *Conn) handleContentHeader(f frame, ch *channel) *Error {
-	class, size, properties, e := parseContentHeader(f)
-	if e != nil {
-		return e
-	}
-	if class != classBasic {
-		return newError(UnexpectedFrame, f.channel, "content header of class %d", class)
-	}
-	ch.headerReceived, ch.bodyRemaining, ch.discardBody = true, size, false
-	event := Event{Kind: ContentHeader, Channel: f.channel, Publish: ch.publish, Properties: &properties, Size: size, HeadSize: len(f.payload), Complete: size == 0}
-	if event.Complete {
-		c.finishContent(ch)
-	}
-	c.handle(&event)
-	return nil
-}
-
-// finishContent marks the message of ch as complete.
-func (c *Conn) finishContent(ch *channel) {
-	ch.publish, ch.headerReceived = nil, false
-	c.incomplete--
-}
-
-// DiscardBody suppresses the remaining ContentBody events of the incomplete message on a channel.
-func (c *Conn) DiscardBody(id uint16) {
-	if ch := c.channels[id]; ch != nil && ch.publish != nil {
-		ch.discardBody = true
-	}
-}
-
 // Send queues a method for output. On a channel that is not open it sends nothing, except for channel.close-ok. Channel
 // 0 is the connection.
 func (c *Conn) Send(id uint16, m Method) {
