platform: a start asks for the whole list, so that a current one is known at once

Cause: its watch asked for the changes behind the known version. An agent without any sends empty lines only, which told nothing, and the start waited for a list until its limit. As none came, none was kept, and the next start knew nothing either.

Change: watches ask from version 0 until a list has come in this process. The test bed's agent can be as quiet as the platform's.

--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -20,6 +20,9 @@
 	// source is the address that the list in force came from, and seq its version there. Another address may count anew.
 	source netip.AddrPort
 	seq    int64
+	// received tells that a list has come in this process. Until then watches ask for the whole list, which comes at once: an agent that
+	// has nothing newer than a version sends nothing that tells so.
+	received bool
 	// onList is called for each list or change, in order.
 	onList func(EndpointList)
 	log    func(format string, a ...any)
@@ -108,7 +111,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	address := w.plan.address
 	from := int64(0)
-	if address == w.source {
+	if address == w.source && w.received {
 		from = w.seq
 	}
 	w.open[id] = &watchHandle{close: stop, address: address, openedAt: w.now()}
@@ -172,7 +175,7 @@
 		return
 	}
 	if l.Whole || from != w.source || l.Seq >= w.seq {
-		w.source, w.seq = from, l.Seq
+		w.source, w.seq, w.received = from, l.Seq, true
 		w.onList(*l)
 	}
 }
--- a/internal/testbed/agent.go
+++ b/internal/testbed/agent.go
@@ -40,6 +40,8 @@
 	changed chan struct{}
 	// muted stops all answers to watches.
 	muted bool
+	// quiet leaves out the first object of a watch if nothing has changed since the version of its request.
+	quiet bool
 	// silencedWatches is the number of the last watch that is silenced permanently. Watches are numbered from 1.
 	silencedWatches int
 	// openedWatches counts the watches so far.
@@ -128,6 +130,13 @@
 	a.mu.Unlock()
 }
 
+// SetQuiet has a watch from the present version get nothing but empty lines.
+func (a *Agent) SetQuiet(quiet bool) {
+	a.mu.Lock()
+	a.quiet = quiet
+	a.mu.Unlock()
+}
+
 // SilenceOpenWatches stops the answers to the watches that are open now. Later watches are answered.
 func (a *Agent) SilenceOpenWatches() {
 	a.mu.Lock()
@@ -210,7 +219,7 @@
 		a.mu.Lock()
 		changed, muted, broken := a.changed, a.muted || watch <= a.silencedWatches, watch <= a.brokenWatches
 		text, slow := "", first && pace.FirstList > 0
-		if !muted && (first || from < a.version) {
+		if !muted && (first && !(a.quiet && from == a.version) || from < a.version) {
 			text, first, from = a.changesSince(from), false, a.version
 		}
 		a.mu.Unlock()
