Tests: dispatchers and event loops are started in one place each

Need: the new tests of addresses, fairness and resets wrote out what others had.

Measured: the tests of internal/service and internal/eventloop pass.

--- a/internal/eventloop/fairness_test.go
+++ b/internal/eventloop/fairness_test.go
@@ -30,9 +30,9 @@
 	c.Write(make([]byte, n))
 }
 
-// While one client sends small requests at full speed, the others had their turn only after a megabyte of them.
-func TestFloodOfSmallRequestsKeepsNobodyWaiting(t *testing.T) {
-	handler := &smallRequests{}
+// startGroup starts a listening group with one loop, which is stopped at the end of the test.
+func startGroup(t *testing.T, handler eventloop.Handler) *eventloop.Group {
+	t.Helper()
 	g, err := eventloop.New(eventloop.Config{Loops: 1, TickInterval: 10 * time.Millisecond}, handler, clock.New())
 	if err != nil {
 		t.Fatal(err)
@@ -41,7 +41,14 @@
 		t.Fatal(err)
 	}
 	g.Start()
-	defer g.Stop()
+	t.Cleanup(g.Stop)
+	return g
+}
+
+// While one client sends small requests at full speed, the others had their turn only after a megabyte of them.
+func TestFloodOfSmallRequestsKeepsNobodyWaiting(t *testing.T) {
+	handler := &smallRequests{}
+	g := startGroup(t, handler)
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", g.Addr().String())
 		if err != nil {
--- a/internal/eventloop/leave_test.go
+++ b/internal/eventloop/leave_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"whinrun/internal/clock"
 	"whinrun/internal/eventloop"
 )
 
@@ -22,15 +21,7 @@
 // behind that had been sent on by then.
 func TestResetIsNoticedWhileReadingIsPaused(t *testing.T) {
 	handler := &pausing{closed: make(chan error, 1)}
-	g, err := eventloop.New(eventloop.Config{Loops: 1, TickInterval: 10 * time.Millisecond}, handler, clock.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := g.Listen("127.0.0.1:0"); err != nil {
-		t.Fatal(err)
-	}
-	g.Start()
-	defer g.Stop()
+	g := startGroup(t, handler)
 	c, err := net.Dial("tcp", g.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/service/address_test.go
+++ b/internal/service/address_test.go
@@ -12,9 +12,7 @@
 	"testing"
 	"time"
 
-	"whinrun/internal/config"
 	"whinrun/internal/load"
-	"whinrun/internal/logs"
 	"whinrun/internal/testbed"
 )
 
@@ -82,15 +80,7 @@
 			write("p " + addr + " ready\n")
 			settings := "[dispatcher]\nlisten = 127.0.0.1:0\nstop-within = 1s\n[list]\nfile = " + list + "\nevery = 20ms\n[partner q]\nkind = k\n" +
 				strings.Replace(baseSettings, "endpoints = ADDRESS\n", "", 1)
-			cfg, err := config.Parse("test", []byte(settings))
-			if err != nil {
-				t.Fatal(err)
-			}
-			log, _ := logs.New(io.Discard, "info", 100)
-			dispatcher, err := Start(cfg, log, nil)
-			if err != nil {
-				t.Fatal(err)
-			}
+			dispatcher := startFromText(t, settings)
 			defer dispatcher.Kill()
 			client := load.NewClient(dispatcher.Addr().String(), 2)
 			defer client.Close()
@@ -115,7 +105,7 @@
 			send(1500*time.Millisecond, "behind")
 			group.Wait()
 			// The list is read every 20 ms, and nothing new goes to an endpoint later than drain-grace behind it.
-			limit := (<-told).Add(20*time.Millisecond + time.Duration(cfg.Control.StopSendingWithin)*time.Microsecond)
+			limit := (<-told).Add(20*time.Millisecond + time.Duration(dispatcher.cfg.Control.StopSendingWithin)*time.Microsecond)
 			x.mu.Lock()
 			defer x.mu.Unlock()
 			wrong := 0
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -49,7 +49,12 @@
 // startService starts a dispatcher with one partner at partnerAddr and extra settings.
 func startService(t *testing.T, partnerAddr, extraSections string) *Service {
 	t.Helper()
-	text := "[dispatcher]\nlisten = 127.0.0.1:0\nstop-within = 1s\n" + strings.Replace(baseSettings, "ADDRESS", partnerAddr, 1) + extraSections
+	return startFromText(t, "[dispatcher]\nlisten = 127.0.0.1:0\nstop-within = 1s\n"+strings.Replace(baseSettings, "ADDRESS", partnerAddr, 1)+extraSections)
+}
+
+// startFromText starts a dispatcher with settings.
+func startFromText(t *testing.T, text string) *Service {
+	t.Helper()
 	cfg, err := config.Parse("test", []byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -180,15 +185,7 @@
 	text = strings.Replace(text, "[kind k]", "[kind k]\ndialect = device", 1)
 	text = strings.Replace(text, "endpoints =", "path = /3/device\nendpoints =", 1)
 	text = strings.ReplaceAll(text, "[push /p/status]", "[push /p/status/*]")
-	cfg, err := config.Parse("test", []byte(text))
-	if err != nil {
-		t.Fatal(err)
-	}
-	log, _ := logs.New(io.Discard, "info", 100)
-	dispatcher, err := Start(cfg, log, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	dispatcher := startFromText(t, text)
 	defer dispatcher.Kill()
 	client := load.NewClient(dispatcher.Addr().String(), 1)
 	defer client.Close()
