amqp: a body frame on channel 0 has one error, whole or in pieces

Cause: in pieces such a frame was refused as one on a channel that is not open (504), whole as a content frame outside of a channel (505).

Change: one function makes the error for both. Measured: the tests of internal/amqp pass.

--- a/internal/amqp/conn.go
+++ b/internal/amqp/conn.go
@@ -241,7 +241,7 @@
 			return nil
 		}
 		if c.phase != running || f.channel == 0 {
-			return c.reportError(newError(UnexpectedFrame, f.channel, "content frame outside of an open channel"))
+			return c.reportError(newContentOutsideChannel(f.channel))
 		}
 		return c.reportError(c.handleContentFrame(f))
 	case frameHeartbeat:
--- a/internal/amqp/content.go
+++ b/internal/amqp/content.go
@@ -24,12 +24,20 @@
 	f := frame{kind: frameBody, channel: binary.BigEndian.Uint16(b[1:])}
 	size := int(binary.BigEndian.Uint32(b[3:]))
 	c.body = partialFrame{open: true, channel: f.channel, left: size}
-	if c.phase == awaitCloseOK {
+	switch {
+	case c.phase == awaitCloseOK:
 		return frameHeaderSize, nil
+	case f.channel == 0:
+		return frameHeaderSize, c.reportError(newContentOutsideChannel(f.channel))
 	}
 	return frameHeaderSize, c.reportError(c.startBodyFrame(f.channel, size))
 }
 
+// newContentOutsideChannel returns the error for a content frame on the connection's own channel, or before the connection is open.
+func newContentOutsideChannel(id uint16) *Error {
+	return newError(UnexpectedFrame, id, "content frame outside of an open channel")
+}
+
 // receiveBodyPart handles a part of the payload of a body frame, or its end octet.
 func (c *Conn) receiveBodyPart(b []byte) (int, error) {
 	if len(b) == 0 {
