serve: the 202 of a message with a receipt leaves once its acceptance is on disk

What callers saw, with [audit]: messages of the last 20 ms before a crash had their 202, and never a receipt, neither served nor failed.

Cause: the 202 left when the message was handed to the engine; its record was written up to sync-within later.

Change: Recorder.AfterRecord calls a function once the records of so far are on disk, and commits at most every 2 ms while functions wait. The push front answers 202 from there. A message that ends in its first round is answered so, too. Without a trail nothing changes.

--- a/internal/audit/recorder.go
+++ b/internal/audit/recorder.go
@@ -35,14 +35,23 @@
 	onDiskStateChange func(error) // called with the error when the disk starts to fail, and with nil when it works again
 
 	mu       sync.Mutex
-	queue    []*Record // records that are not encoded yet
-	maxQueue int       // maximum length of queue
+	queue    []queuedRecord // records that are not encoded yet
+	maxQueue int            // maximum length of queue
+
+	waiting    []func()      // functions of AfterRecord whose records are not on disk; used by run only
+	lastCommit time.Duration // when the last commit began; used by run only
 
 	wakeup chan struct{}
 	quit   chan struct{}
 	done   sync.WaitGroup
 }
 
+// queuedRecord is a record to be written, or a function to be called once all records before it are on disk.
+type queuedRecord struct {
+	record *Record
+	then   func()
+}
+
 // Open opens the trail in a folder and continues it. It creates the folder and a key if they do not exist. now is the clock of the
 // dispatcher, and log takes messages for the operator. onDiskStateChange is called with the error when the disk starts to fail, and
 // with nil when it works again.
@@ -90,7 +99,7 @@
 	k.mu.Lock()
 	full := len(k.queue) >= k.maxQueue
 	if !full {
-		k.queue = append(k.queue, r)
+		k.queue = append(k.queue, queuedRecord{record: r})
 	}
 	first := len(k.queue) == 1
 	k.mu.Unlock()
@@ -102,15 +111,52 @@
 	}
 }
 
+// AfterRecord has f called once the records that were enqueued so far are on disk, on the Recorder's goroutine, which it must not block. While
+// the disk fails f waits. It is not called if the Recorder is closed or killed before that.
+func (k *Recorder) AfterRecord(f func()) {
+	k.mu.Lock()
+	k.queue = append(k.queue, queuedRecord{then: f})
+	first := len(k.queue) == 1
+	k.mu.Unlock()
+	if first {
+		k.signal()
+	}
+}
+
 // writeQueued writes the queued records to the trail.
 func (k *Recorder) writeQueued(now time.Duration) {
 	k.mu.Lock()
 	queue := k.queue
 	k.queue = nil
 	k.mu.Unlock()
-	for _, r := range queue {
-		k.Write(now, r)
+	for _, q := range queue {
+		if q.then != nil {
+			k.waiting = append(k.waiting, q.then)
+		} else {
+			k.Write(now, q.record)
+		}
+	}
+}
+
+// waitingInterval is the shortest time between two commits of which the second one is for functions that wait. Clients wait with them.
+const waitingInterval = 2 * time.Millisecond
+
+// nextCommit returns when the pending records are to be committed. The second result is false if there are none.
+func (k *Recorder) nextCommit() (time.Duration, bool) {
+	at, ok := k.store.NextCommit()
+	if ok && len(k.waiting) > 0 && k.store.Failing() == nil {
+		at = min(at, k.lastCommit+waitingInterval)
 	}
+	return at, ok
+}
+
+// callWaiting calls the functions whose records are on disk.
+func (k *Recorder) callWaiting() {
+	for _, f := range k.waiting {
+		f()
+	}
+	clear(k.waiting)
+	k.waiting = k.waiting[:0]
 }
 
 // Close stops the goroutine, writes and seals all records and closes the store.
@@ -175,11 +221,14 @@
 	for {
 		now := k.now()
 		k.writeQueued(now)
-		if at, ok := k.store.NextCommit(); ok && at <= now {
+		if at, ok := k.nextCommit(); ok && at <= now {
 			failing = k.commit(now, failing)
 		}
+		if _, pending := k.store.NextCommit(); !pending {
+			k.callWaiting()
+		}
 		wait := time.Hour
-		if at, ok := k.store.NextCommit(); ok {
+		if at, ok := k.nextCommit(); ok {
 			wait = max(at-k.now(), time.Millisecond)
 		}
 		timer.Reset(wait)
@@ -224,6 +273,7 @@
 // commit commits the pending records. It reports when the disk starts or stops failing. wasFailing and failing say whether it failed
 // before and does so now.
 func (k *Recorder) commit(now time.Duration, wasFailing bool) (failing bool) {
+	k.lastCommit = now
 	err := k.store.Commit(now)
 	if err != nil && !wasFailing {
 		k.log("the trail can't be written, no new messages are accepted: %v", err)
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -475,6 +475,9 @@
 	*Broker
 	// Key signs the receipts that are given to clients. If it is nil they are not signed.
 	Key receipt.Signer
+
+	// AfterRecord calls a function once all that the engine has told so far is on record. It is nil if nothing is kept.
+	AfterRecord func(f func())
 }
 
 // Expire drops ready answers that are older than Keep, and removes queues that have been idle for longer than Idle.
--- a/internal/pushfront/pushfront.go
+++ b/internal/pushfront/pushfront.go
@@ -62,6 +62,8 @@
 	reservation *mailbox.Reservation
 	// subscriptionURI is the receipt subscription that the client named.
 	subscriptionURI string
+	// told is set once status 202 is on its way. It is used on the engine's goroutine only.
+	told bool
 	// resourcePath is the path that the message was posted to. It is set if the client wants a receipt.
 	resourcePath string
 }
@@ -232,7 +234,8 @@
 	if err := r.loadReservation.Submit(r.msg); err != nil {
 		s.reject(r, rejectionProblem(err), now)
 	} else if r.reservation != nil {
-		s.respondAccepted(r, now)
+		// From now on, the end of its stream or of the connection does not withdraw the message: its receipt tells its end.
+		delete(s.requests, r.stream)
 	}
 }
 
@@ -264,6 +267,7 @@
 func (r *request) Answer(_ *engine.Message, a engine.Answer) {
 	r.answer = a
 	if r.reservation != nil {
+		r.Accepted(r.msg) // It may have ended in the round that accepted it.
 		r.storeReceipt(&a)
 		if !r.session.conn.Post(r) {
 			r.Drop()
--- a/internal/pushfront/receipts.go
+++ b/internal/pushfront/receipts.go
@@ -80,10 +80,32 @@
 	}
 }
 
-// respondAccepted sends status 202 for a message with a receipt subscription. From then on, the end of its stream or of
-// the connection no longer cancels the message.
+// acceptedTask sends status 202 for a message with a receipt subscription.
+type acceptedTask struct{ request *request }
+
+// Accepted implements engine.AcceptNotifier. A message with a receipt subscription is answered once its acceptance is on record: from the
+// 202 on its receipt is owed, by the next process, too.
+func (r *request) Accepted(*engine.Message) {
+	if r.reservation == nil || r.told {
+		return
+	}
+	r.told = true
+	respond := func() { r.session.conn.Post(acceptedTask{r}) }
+	if r.session.mailboxes.AfterRecord == nil {
+		respond()
+		return
+	}
+	r.session.mailboxes.AfterRecord(respond)
+}
+
+// Run implements front.Task. It runs on the event loop of the connection.
+func (t acceptedTask) Run(now time.Duration) { t.request.session.respondAccepted(t.request, now) }
+
+// Drop implements front.Task. The message goes on, and its receipt waits in the subscription.
+func (acceptedTask) Drop() {}
+
+// respondAccepted sends status 202.
 func (s *session) respondAccepted(r *request, now time.Duration) {
-	delete(s.requests, r.stream)
 	id := s.ids.Format(r.msg.ID)
 	_ = s.h2conn.Respond(now, r.stream, []h2.Field{{Name: ":status", Value: "202"}, {Name: "location", Value: "/m/" + id},
 		{Name: "link", Value: "<" + r.subscriptionURI + `>; rel="urn:ietf:params:push:receipt"`}, {Name: push.FieldMessageID, Value: id, Sensitive: true}}, nil)
--- a/internal/service/restart_test.go
+++ b/internal/service/restart_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -303,3 +304,92 @@
 		}
 	}
 }
+
+// Messages of the last 20 ms before a crash had their 202 and never a receipt, as their acceptance was not on record. Each message with a 202
+// has a receipt behind any crash.
+func TestReceiptOfEveryAcceptedMessageBehindACrash(t *testing.T) {
+	addr, _ := startHTTP2Partner(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(201) })
+	settings := "[audit]\nfolder = " + t.TempDir() + "\n"
+	dispatcher := startService(t, addr, settings)
+	defer func() { dispatcher.Kill() }()
+	res, _ := doRequest(t, dispatcher, "POST", "/receipts/t", "")
+	subscription := res.Header.Get("Location")
+	onRecord(t, dispatcher)
+	accepted := map[string]bool{}
+	var mu sync.Mutex
+	for range 3 {
+		var clients sync.WaitGroup
+		ctx, stop := context.WithCancel(context.Background())
+		for range 8 {
+			transport := newHTTP2Transport()
+			clients.Go(func() {
+				defer transport.CloseIdleConnections()
+				for ctx.Err() == nil {
+					name, err := postForReceipt(ctx, transport, dispatcher.Addr().String(), subscription)
+					if err == nil && name != "" {
+						mu.Lock()
+						accepted[name] = true
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		dispatcher.Kill()
+		stop()
+		clients.Wait()
+		dispatcher = startService(t, addr, settings)
+	}
+	seen := map[string]bool{}
+	for {
+		status, all := listReceipts(t, dispatcher, subscription)
+		if status != 200 {
+			break
+		}
+		for _, r := range all {
+			seen[r.Receipt.Message] = true
+			dispatcher.mailboxes.Lock()
+			_, err := dispatcher.mailboxes.Take(dispatcher.now(), 0, strings.TrimPrefix(subscription, "/receipts/t/"), r.No)
+			dispatcher.mailboxes.Unlock()
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	missing := 0
+	for name := range accepted {
+		if !seen[name] {
+			missing++
+		}
+	}
+	if missing > 0 || len(accepted) < 50 {
+		t.Errorf("%d of %d messages with a 202 have no receipt", missing, len(accepted))
+	}
+}
+
+// newHTTP2Transport returns a transport for clients of the push front.
+func newHTTP2Transport() *http.Transport {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{Protocols: &protocols}
+}
+
+// postForReceipt posts a message whose receipt goes to a subscription. It returns the message's name if that has a 202.
+func postForReceipt(ctx context.Context, transport *http.Transport, addr, subscription string) (name string, err error) {
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+addr+"/p/status", strings.NewReader("x"))
+	if err != nil {
+		return "", err
+	}
+	for field, value := range map[string]string{"Authorization": "Bearer secret", "TTL": "4", "Prefer": "respond-async", "Push-Receipt": subscription} {
+		request.Header.Set(field, value)
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != 202 {
+		return "", nil
+	}
+	return response.Header.Get("Whinrun-Message"), nil
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -177,7 +177,7 @@
 	}
 	mailboxes := &mailbox.SharedBroker{Broker: mailbox.New(cfg.Mailbox, s.identity)}
 	if s.auditLog != nil {
-		mailboxes.Key, mailboxes.OnChange = s.auditLog.Key(), s.trail.receiptChanged
+		mailboxes.Key, mailboxes.OnChange, mailboxes.AfterRecord = s.auditLog.Key(), s.trail.receiptChanged, s.auditLog.AfterRecord
 		s.restoreReceipts(mailboxes, rules, s.earlierReceipts)
 		s.earlierReceipts = nil
 	}
