--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -32,8 +32,9 @@
 	retryScheduled bool
 	// unfinished is true while the connection is in the loop's list of that name.
 	unfinished bool
-	// readable is true from an event that there is something to read until a read has returned shortRead bytes, or was tried again.
-	readable bool
+	// readTries is how often a read that returns EAGAIN is tried again, because an event says that there is something to read. It is 0
+	// once a read has returned shortRead bytes.
+	readTries int
 	// readPaused is true while nothing is read.
 	readPaused bool
 	// opened is true once Handler.Opened has been called.
@@ -241,6 +242,9 @@
 	c.loop.unfinished = append(c.loop.unfinished, c)
 }
 
+// maxReadTries is how often a read that returns EAGAIN behind an event is tried again, retryWait apart.
+const maxReadTries = 5
+
 // shortRead is the number of bytes below which a read may have been cut short. No message of a protocol here is so short.
 const shortRead = 16
 
@@ -249,7 +253,9 @@
 	n, err := c.loop.group.system.Read(c.fd, c.loop.buffer)
 	switch {
 	case err == nil && n > 0:
-		c.readable = c.readable && n < shortRead
+		if n >= shortRead {
+			c.readTries = 0
+		}
 		c.inbound = c.loop.buffer[:n]
 		c.notifyReady()
 		return true
@@ -257,8 +263,8 @@
 		c.finish(io.EOF)
 	case errors.Is(err, unix.EAGAIN):
 		// The event said otherwise, and none may follow.
-		if c.readable {
-			c.readable = false
+		if c.readTries > 0 {
+			c.readTries--
 			c.scheduleRetry()
 		}
 	case isTransient(err):
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -308,7 +308,9 @@
 	case l.hasListener() && fd == l.group.listener.fd:
 		l.accept()
 	case c != nil:
-		c.readable = event.Events&unix.EPOLLIN != 0
+		if event.Events&unix.EPOLLIN != 0 {
+			c.readTries = maxReadTries
+		}
 		// A read would find this out, but there is none while reading is paused.
 		if c.readPaused && event.Events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 {
 			c.finish(unix.ECONNRESET)
@@ -404,7 +406,7 @@
 }
 
 // A loop sweeps over its connections at times, without an event. A system call that wrongly returned EAGAIN is not
-// followed by an event. The first read behind an event is tried again sooner (see Conn.readable).
+// followed by an event. Reads behind an event are tried again sooner (see Conn.readTries).
 const (
 	// sweepInterval is the time between two sweeps.
 	sweepInterval = 500 * control.Millisecond
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -108,13 +108,15 @@
 	if err := exchange(); err != nil {
 		t.Fatal(err)
 	}
-	for range 10 {
-		var once sync.Once
-		f.SetFault(func(call string) (err error) {
-			if call == "read" {
-				once.Do(func() { err = unix.EAGAIN })
+	for i := range 20 {
+		// One or three reads in a row return it.
+		var wrong atomic.Int64
+		wrong.Store([]int64{1, 3}[i%2])
+		f.SetFault(func(call string) error {
+			if call == "read" && wrong.Add(-1) >= 0 {
+				return unix.EAGAIN
 			}
-			return err
+			return nil
 		})
 		watch := clock.StartStopwatch()
 		if err := exchange(); err != nil {
